--- /dev/null
+++ b/packages/base/include/radishrelay/base/log.h
@@ -0,0 +1,32 @@
+#ifndef RADISHRELAY_BASE_LOG_H
+#define RADISHRELAY_BASE_LOG_H
+
+#include "radishrelay/base/failure.h"
+#include "radishrelay/base/json.h"
+
+#include <string>
+#include <string_view>
+
+namespace radishrelay::base {
+
+/// Severity of a log event, in rising order.
+enum class log_level { Debug, Info, Warning, Error };
+
+/// Sets up easylogging++ to write JSON lines on standard error. Call once at
+/// the start of a program.
+void configureLog(log_level Lowest);
+
+/// Parses "debug", "info", "warning" or "error"; anything else gives Info.
+log_level parseLogLevel(std::string_view Name);
+
+/// Writes one line {"time","level","event",...Fields}. \p Fields must hold
+/// neither keys nor tokens.
+void logEvent(log_level Level, std::string_view Event,
+              const json &Fields = json::object());
+
+/// Returns the failure as log fields "error", "step", "peer", "detail".
+json logFields(const failure &Failure);
+
+} // namespace radishrelay::base
+
+#endif
--- /dev/null
+++ b/packages/base/include/radishrelay/base/store_request.h
@@ -0,0 +1,80 @@
+#ifndef RADISHRELAY_BASE_STORE_REQUEST_H
+#define RADISHRELAY_BASE_STORE_REQUEST_H
+
+#include "radishrelay/base/json.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace radishrelay::base {
+
+/// Place of a row in the platform's table service.
+struct row_key {
+  std::string Table;
+  std::string Key;
+
+  friend auto operator<=>(const row_key &, const row_key &) = default;
+};
+
+/// Version of a row; 0 means that the row is absent.
+using row_version = std::uint64_t;
+
+/// A row as it was read.
+struct table_row {
+  row_key Key;
+  row_version Version = 0;
+  /// null when the row is absent.
+  json Value;
+
+  friend bool operator==(const table_row &, const table_row &) = default;
+};
+
+/// Asks for one row.
+struct read_row {
+  row_key Key;
+
+  friend bool operator==(const read_row &, const read_row &) = default;
+};
+
+/// Asks for all rows of a table.
+struct read_table {
+  std::string Table;
+
+  friend bool operator==(const read_table &, const read_table &) = default;
+};
+
+/// A row that must still have the version when a transaction takes effect.
+struct row_condition {
+  row_key Key;
+  row_version Version = 0;
+
+  friend bool operator==(const row_condition &,
+                         const row_condition &) = default;
+};
+
+/// A row to be replaced, or removed when \p Value is null.
+struct row_write {
+  row_key Key;
+  json Value;
+
+  friend bool operator==(const row_write &, const row_write &) = default;
+};
+
+/// Writes all rows if all conditions hold, or none.
+struct store_transaction {
+  std::vector<row_condition> Conditions;
+  std::vector<row_write> Writes;
+
+  friend bool operator==(const store_transaction &,
+                         const store_transaction &) = default;
+};
+
+/// A request to the platform's table service.
+using store_request = std::variant<read_row, read_table, store_transaction>;
+
+} // namespace radishrelay::base
+
+#endif
--- /dev/null
+++ b/packages/base/src/log.cpp
@@ -0,0 +1,83 @@
+#include "radishrelay/base/log.h"
+
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/Timestamp.h>
+
+#include <easylogging++.h>
+
+#include <array>
+#include <atomic>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace radishrelay::base {
+
+namespace {
+
+std::atomic<log_level> LowestLevel{log_level::Info};
+
+constexpr std::array<std::string_view, 4> LevelNames{"debug", "info", "warning",
+                                                     "error"};
+
+std::string_view levelName(log_level Level) {
+  return LevelNames.at(static_cast<std::size_t>(Level));
+}
+
+/// Writes easylogging++ messages to standard error; the library's own
+/// dispatcher writes to standard output.
+class standard_error_dispatch final : public el::LogDispatchCallback {
+protected:
+  void handle(const el::LogDispatchData *Data) noexcept override {
+    std::string Line = Data->logMessage()->message() + "\n";
+    std::fwrite(Line.data(), 1, Line.size(), stderr);
+  }
+};
+
+} // namespace
+
+log_level parseLogLevel(std::string_view Name) {
+  for (std::size_t Index = 0; Index < LevelNames.size(); ++Index)
+    if (LevelNames.at(Index) == Name)
+      return static_cast<log_level>(Index);
+  return log_level::Info;
+}
+
+void configureLog(log_level Lowest) {
+  LowestLevel = Lowest;
+  el::Configurations Settings;
+  Settings.setToDefault();
+  Settings.setGlobally(el::ConfigurationType::Format, "%msg");
+  Settings.setGlobally(el::ConfigurationType::ToFile, "false");
+  Settings.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+  el::Loggers::reconfigureAllLoggers(Settings);
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<standard_error_dispatch>(
+      "standard_error");
+}
+
+void logEvent(log_level Level, std::string_view Event, const json &Fields) {
+  if (Level < LowestLevel.load())
+    return;
+  json Line = json::object();
+  Line["time"] = Poco::DateTimeFormatter::format(
+      Poco::Timestamp(), Poco::DateTimeFormat::ISO8601_FRAC_FORMAT);
+  Line["level"] = levelName(Level);
+  Line["event"] = Event;
+  Line.update(Fields);
+  std::string Text = Line.dump(-1, ' ', false, json::error_handler_t::replace);
+  LOG(INFO) << Text;
+}
+
+json logFields(const failure &Failure) {
+  json Fields = json::object();
+  Fields["error"] = Failure.Code.message();
+  Fields["step"] = Failure.Step;
+  Fields["peer"] = Failure.Peer;
+  if (!Failure.Detail.empty())
+    Fields["detail"] = Failure.Detail;
+  return Fields;
+}
+
+} // namespace radishrelay::base
--- /dev/null
+++ b/packages/base/tests/building_blocks_test.cpp
@@ -0,0 +1,130 @@
+#include "radishrelay/base/bounded_ring.h"
+#include "radishrelay/base/digest.h"
+#include "radishrelay/base/metrics_registry.h"
+#include "radishrelay/base/random_generator.h"
+#include "radishrelay/base/rendezvous.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+namespace {
+
+using namespace radishrelay::base;
+
+std::vector<std::string> tenHosts() {
+  std::vector<std::string> Names;
+  for (int Index = 0; Index < 10; ++Index)
+    Names.push_back("host-" + std::to_string(Index));
+  return Names;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(building_blocks)
+
+BOOST_AUTO_TEST_SUITE(digests)
+
+BOOST_AUTO_TEST_CASE(agree_with_published_vectors) {
+  BOOST_TEST(
+      encodeHex(sha256("abc")) ==
+      "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  BOOST_TEST(
+      encodeHex(hmacSha256("Jefe", "what do ya want for nothing?")) ==
+      "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+}
+
+BOOST_AUTO_TEST_CASE(base64url_is_canonical) {
+  std::string Data("\x00\xff\x10 text", 8);
+  BOOST_TEST(decodeBase64Url(encodeBase64Url(Data)).value() == Data);
+  BOOST_TEST(!decodeBase64Url("QQ==").has_value());
+  BOOST_TEST(!decodeBase64Url("QR").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(comparison_sees_length_and_content) {
+  BOOST_TEST(constantTimeEqual("abc", "abc"));
+  BOOST_TEST(!constantTimeEqual("abc", "abd"));
+  BOOST_TEST(!constantTimeEqual("abc", "ab"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(rendezvous)
+
+BOOST_AUTO_TEST_CASE(removal_moves_only_the_keys_of_the_removed_member) {
+  std::vector<std::string> All = tenHosts();
+  std::vector<std::string> Fewer(All.begin(), All.end() - 1);
+  for (int Key = 0; Key < 1000; ++Key) {
+    std::string Name = "key-" + std::to_string(Key);
+    std::string Before = rendezvousOrder(Name, All).front();
+    std::string After = rendezvousOrder(Name, Fewer).front();
+    if (Before != All.back())
+      BOOST_TEST(Before == After);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(shares_follow_the_weights) {
+  std::vector<rendezvous_member> Members{{"a", 1}, {"b", 3}, {"c", 0}};
+  std::map<std::string, int> Count;
+  for (int Key = 0; Key < 8000; ++Key)
+    ++Count[rendezvousOrder("k" + std::to_string(Key), Members).front()];
+  BOOST_TEST(Count["c"] == 0);
+  BOOST_TEST(Count["b"] > 5700);
+  BOOST_TEST(Count["b"] < 6300);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(rings)
+
+BOOST_AUTO_TEST_CASE(a_full_ring_refuses_and_keeps_the_item) {
+  bounded_ring<std::string> Ring(1);
+  BOOST_TEST(Ring.tryPush("first"));
+  std::string Second = "second";
+  bool Pushed = Ring.tryPush(std::move(Second));
+  BOOST_TEST(!Pushed);
+  // The refused item must still be there for the caller to answer.
+  // NOLINTNEXTLINE(bugprone-use-after-move)
+  BOOST_TEST(Second == "second");
+}
+
+BOOST_AUTO_TEST_CASE(a_closed_ring_is_drained_and_takes_nothing) {
+  bounded_ring<int> Ring(2);
+  BOOST_TEST(Ring.tryPush(1));
+  Ring.close();
+  BOOST_TEST(!Ring.tryPush(2));
+  BOOST_TEST(Ring.tryPop().value() == 1);
+  BOOST_TEST(!Ring.popUntil(monotonic_clock::now()).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(metrics)
+
+BOOST_AUTO_TEST_CASE(appear_in_the_prometheus_text_format) {
+  metrics_registry Registry;
+  Registry.increment({"requests_total", "account", "a\"b"}, 3);
+  Registry.setGauge({"ready"}, 1);
+  for (int Sample = 1; Sample <= 1000; ++Sample)
+    Registry.observe({"latency_seconds"}, duration(Sample));
+  std::string Text = Registry.prometheusText();
+  BOOST_TEST(Text.find("# TYPE requests_total counter\n"
+                       "requests_total{account=\"a\\\"b\"} 3\n") !=
+             std::string::npos);
+  BOOST_TEST(Text.find("ready 1\n") != std::string::npos);
+  BOOST_TEST(Text.find("latency_seconds_count 1000\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(quantiles_are_close_on_a_uniform_sample) {
+  latency_summary Summary;
+  random_generator Random(7);
+  for (int Sample = 0; Sample < 20000; ++Sample)
+    Summary.add(duration(static_cast<std::int64_t>(Random.below(1000))));
+  BOOST_TEST(Summary.quantile(0.5) > 480);
+  BOOST_TEST(Summary.quantile(0.5) < 520);
+  BOOST_TEST(Summary.quantile(0.99) > 975);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/base/tests/settings_test.cpp
@@ -0,0 +1,98 @@
+#include "radishrelay/base/settings_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace radishrelay::base;
+
+struct sample_options {
+  std::string Id;
+  std::string Address;
+  std::int64_t Count = 4;
+  std::string Level = "info";
+  std::map<std::string, std::string> Tokens;
+};
+
+settings_table<sample_options> sampleTable() {
+  return settings_table<sample_options>({
+      textSetting("host", "id", &sample_options::Id, presence::Required),
+      addressSetting("host", "address", &sample_options::Address),
+      integerSetting("host", "count", &sample_options::Count, {1, 64}),
+      choiceSetting("log", "level", &sample_options::Level, {"info", "error"}),
+      mapSetting("operators", "token.*", &sample_options::Tokens),
+  });
+}
+
+expected<sample_options> parseSample(std::string_view Text) {
+  auto Document = parseIni(Text, "a.ini");
+  if (!Document)
+    return Document.error();
+  return sampleTable().parse(*Document);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+BOOST_AUTO_TEST_SUITE(a_correct_file)
+
+BOOST_AUTO_TEST_CASE(fills_the_options_and_keeps_defaults) {
+  auto Options = parseSample("# comment\n[host]\nid = h1\n"
+                             "address = 127.0.0.1:80\n[operators]\n"
+                             "token.anna = abc\n");
+  BOOST_REQUIRE(Options.hasValue());
+  BOOST_TEST(Options->Id == "h1");
+  BOOST_TEST(Options->Count == 4);
+  BOOST_TEST(Options->Tokens.at("anna") == "abc");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_wrong_file_is_refused_with_its_place)
+
+BOOST_AUTO_TEST_CASE(unknown_section) {
+  auto Options = parseSample("[hsot]\nid = h1\n");
+  BOOST_REQUIRE(!Options);
+  BOOST_TEST(Options.error().Code == settings_error::SectionUnknown);
+  BOOST_TEST(Options.error().Peer == "a.ini:2");
+}
+
+BOOST_AUTO_TEST_CASE(unknown_key_lists_the_allowed_ones) {
+  auto Options = parseSample("[host]\nid = h1\ncuont = 3\n");
+  BOOST_REQUIRE(!Options);
+  BOOST_TEST(toString(Options.error()) ==
+             "check settings: unknown key (a.ini:3): [host] cuont; allowed: "
+             "allowed keys: address count id");
+}
+
+BOOST_AUTO_TEST_CASE(bad_integer_and_integer_out_of_range) {
+  auto Malformed = parseSample("[host]\nid = h1\ncount = many\n");
+  BOOST_REQUIRE(!Malformed);
+  BOOST_TEST(Malformed.error().Code == settings_error::ValueMalformed);
+  auto TooLarge = parseSample("[host]\nid = h1\ncount = 65\n");
+  BOOST_REQUIRE(!TooLarge);
+  BOOST_TEST(TooLarge.error().Code == settings_error::ValueOutOfRange);
+  BOOST_TEST(TooLarge.error().Detail.find("from 1 to 64") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(bad_address_choice_repetition_and_absence) {
+  auto Address = parseSample("[host]\nid = h1\naddress = here\n");
+  BOOST_TEST(Address.error().Code == settings_error::ValueMalformed);
+  auto Choice = parseSample("[host]\nid = h1\n[log]\nlevel = loud\n");
+  BOOST_TEST(Choice.error().Code == settings_error::ValueOutOfRange);
+  auto Repeated = parseSample("[host]\nid = h1\nid = h2\n");
+  BOOST_TEST(Repeated.error().Code == settings_error::KeyRepeated);
+  auto Missing = parseSample("[host]\ncount = 3\n");
+  BOOST_TEST(Missing.error().Code == settings_error::KeyMissing);
+}
+
+BOOST_AUTO_TEST_CASE(a_line_without_equals_sign) {
+  auto Options = parseSample("[host]\nid\n");
+  BOOST_TEST(Options.error().Code == settings_error::LineMalformed);
+  BOOST_TEST(Options.error().Peer == "a.ini:2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
