--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -8,4 +8,4 @@
 find_package(PkgConfig REQUIRED)
 # Debian's libjsonrpccpp ships pkg-config files only.
 pkg_check_modules(jsonrpccpp REQUIRED IMPORTED_TARGET libjsonrpccpp-client
-                  libjsonrpccpp-server)
+                  libjsonrpccpp-server jsoncpp)
--- /dev/null
+++ b/packages/daemon/include/radishrelay/daemon/peer_method.h
@@ -0,0 +1,31 @@
+#ifndef RADISHRELAY_DAEMON_PEER_METHOD_H
+#define RADISHRELAY_DAEMON_PEER_METHOD_H
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace radishrelay::daemon {
+
+/// Procedures that hosts call on each other by JSON-RPC.
+enum class peer_method {
+  ConfigurationSince,
+  ConfigurationStore,
+  Suspect,
+  Borrow,
+  GiveBack,
+  HandOver,
+  Forward,
+};
+
+inline constexpr std::array<std::string_view, 7> PeerMethodNames{
+    "configuration_since", "configuration_store", "suspect", "borrow",
+    "give_back",           "hand_over",           "forward"};
+
+constexpr std::string_view methodName(peer_method Method) {
+  return PeerMethodNames[static_cast<std::size_t>(Method)];
+}
+
+} // namespace radishrelay::daemon
+
+#endif
