Add the platform client and the stand-in platform

Cause: every daemon keeps all agreed state in the platform's table service, and tests need that service with its failures. Change: platform_client executes store requests over one kept-alive connection and tells a request that was never sent (NotDone) from one whose answer was lost (Unknown).

--- /dev/null
+++ b/packages/platform/include/radishrelay/platform/stand_in_fault.h
@@ -0,0 +1,33 @@
+#ifndef RADISHRELAY_PLATFORM_STAND_IN_FAULT_H
+#define RADISHRELAY_PLATFORM_STAND_IN_FAULT_H
+
+#include <chrono>
+
+namespace radishrelay::platform {
+
+/// A fault that a stand-in platform injects into each request.
+enum class stand_in_fault_mode {
+  None,
+  /// Closes the connection without an answer, before any effect.
+  Down,
+  /// Delays each request before it takes effect.
+  Slow,
+  /// Closes the connection without an answer, after the effect.
+  LoseAnswers,
+  /// Holds each request, before its effect, until the mode changes.
+  Pause,
+};
+
+/// A fault mode with its parameter.
+struct stand_in_fault {
+  stand_in_fault_mode Mode = stand_in_fault_mode::None;
+  /// Delay of each request in the mode Slow.
+  std::chrono::milliseconds Delay{0};
+
+  friend bool operator==(const stand_in_fault &,
+                         const stand_in_fault &) = default;
+};
+
+} // namespace radishrelay::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/src/http_connection.cpp
@@ -0,0 +1,118 @@
+#include "http_connection.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+
+#include <algorithm>
+
+namespace radishrelay::platform::detail {
+
+/// Connects on demand, so that a failed connection is told apart from a failed
+/// transfer.
+class http_session : public Poco::Net::HTTPClientSession {
+public:
+  using HTTPClientSession::HTTPClientSession;
+
+  void connectNow() { reconnect(); }
+
+  /// True when the server has closed the idle connection.
+  bool closedByPeer() {
+    return connected() && socket().poll(0, Poco::Net::Socket::SELECT_READ);
+  }
+};
+
+namespace {
+
+/// Longest time that an idle connection is kept open.
+constexpr int KeepAliveSeconds = 60;
+
+Poco::Timespan remaining(base::time_point Deadline) {
+  auto Left = Deadline - base::monotonic_clock::now();
+  // Zero would mean that there is no timeout.
+  return {std::max<Poco::Timespan::TimeDiff>(Left.count(), 1)};
+}
+
+std::errc codeOf(const Poco::Exception &Error) {
+  if (dynamic_cast<const Poco::TimeoutException *>(&Error))
+    return std::errc::timed_out;
+  if (dynamic_cast<const Poco::Net::ConnectionRefusedException *>(&Error))
+    return std::errc::connection_refused;
+  return std::errc::connection_reset;
+}
+
+} // namespace
+
+http_connection::http_connection(std::string Address)
+    : Address(std::move(Address)) {}
+
+http_connection::~http_connection() = default;
+
+http_failure http_connection::fail(const http_request &Request, bool Sent,
+                                   std::errc Code, const std::string &Detail) {
+  Session.reset();
+  return {Sent, {std::make_error_code(Code), Request.Step, Address, Detail}};
+}
+
+void http_connection::connect(base::time_point Deadline) {
+  if (Session && Session->closedByPeer())
+    Session.reset();
+  if (!Session) {
+    Session = std::make_unique<http_session>(Poco::Net::SocketAddress(Address));
+    Session->setKeepAlive(true);
+    Session->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
+  }
+  Session->setTimeout(remaining(Deadline));
+  if (!Session->connected())
+    Session->connectNow();
+  Session->socket().setNoDelay(true);
+}
+
+http_reply http_connection::sendAndReceive(const http_request &Request,
+                                           base::time_point Deadline) {
+  Poco::Net::HTTPRequest Head(Request.Method, Request.Path,
+                              Poco::Net::HTTPMessage::HTTP_1_1);
+  Head.setKeepAlive(true);
+  Head.setContentType("application/json");
+  Head.setContentLength(static_cast<std::streamsize>(Request.Body.size()));
+  Session->sendRequest(Head) << Request.Body << std::flush;
+
+  Session->socket().setReceiveTimeout(remaining(Deadline));
+  Poco::Net::HTTPResponse Response;
+  std::istream &Stream = Session->receiveResponse(Response);
+  http_reply Reply;
+  Reply.Status = Response.getStatus();
+  Poco::StreamCopier::copyToString(Stream, Reply.Body);
+  bool Whole = !Response.hasContentLength() ||
+               Response.getContentLength() ==
+                   static_cast<std::streamsize>(Reply.Body.size());
+  if (!Whole)
+    throw Poco::Net::MessageException("answer ended early");
+  if (!Response.getKeepAlive())
+    Session.reset();
+  return Reply;
+}
+
+base::expected<http_reply, http_failure>
+http_connection::exchange(const http_request &Request,
+                          base::time_point Deadline) {
+  if (base::monotonic_clock::now() >= Deadline)
+    return fail(Request, false, std::errc::timed_out, "deadline has passed");
+  try {
+    connect(Deadline);
+  } catch (const Poco::Exception &Error) {
+    return fail(Request, false, codeOf(Error), Error.displayText());
+  }
+  try {
+    return sendAndReceive(Request, Deadline);
+  } catch (const Poco::Exception &Error) {
+    return fail(Request, true, codeOf(Error), Error.displayText());
+  } catch (const std::ios_base::failure &Error) {
+    return fail(Request, true, std::errc::io_error, Error.what());
+  }
+}
+
+} // namespace radishrelay::platform::detail
--- /dev/null
+++ b/packages/platform/src/platform_client.cpp
@@ -0,0 +1,179 @@
+#include "radishrelay/platform/platform_client.h"
+
+#include "http_connection.h"
+#include "platform_codec.h"
+
+namespace radishrelay::platform {
+
+namespace {
+
+using base::json;
+using detail::http_connection;
+using detail::http_reply;
+using detail::http_request;
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 409;
+constexpr int FirstClientError = 400;
+constexpr int FirstServerError = 500;
+
+base::failure protocolFailure(const http_request &Request,
+                              const std::string &Peer,
+                              const std::string &Detail) {
+  return {std::make_error_code(std::errc::protocol_error), Request.Step, Peer,
+          Detail};
+}
+
+base::failure statusFailure(const http_request &Request,
+                            const std::string &Peer, int Status) {
+  return protocolFailure(Request, Peer, "status " + std::to_string(Status));
+}
+
+struct request_builder {
+  http_request operator()(const base::read_row &Read) const {
+    return {"GET",
+            "/tables/" + detail::encodeSegment(Read.Key.Table) + "/" +
+                detail::encodeSegment(Read.Key.Key),
+            "", "read table row"};
+  }
+  http_request operator()(const base::read_table &Read) const {
+    return {"GET", "/tables/" + detail::encodeSegment(Read.Table), "",
+            "read table"};
+  }
+  http_request operator()(const base::store_transaction &Transaction) const {
+    return {"POST", "/transactions",
+            detail::formatTransaction(Transaction).dump(),
+            "run store transaction"};
+  }
+};
+
+/// Fills the answer from the body of a reply with status 200.
+struct reply_reader {
+  const json &Body;
+  base::store_answer &Answer;
+
+  void operator()(const base::read_row &Read) const {
+    Answer.Rows = {{Read.Key, Body.at("version").get<base::row_version>(),
+                    Body.at("value")}};
+  }
+  void operator()(const base::read_table &) const {
+    Answer.Rows = detail::parseRows(Body);
+  }
+  void operator()(const base::store_transaction &) const {
+    Answer.Version = Body.at("version").get<base::row_version>();
+  }
+};
+
+void readReply(const base::store_request &Request, const http_reply &Reply,
+               base::store_answer &Answer) {
+  const auto *Row = std::get_if<base::read_row>(&Request);
+  if (Row && Reply.Status == StatusNotFound) {
+    Answer.Outcome = base::store_outcome::Done;
+    Answer.Rows = {{Row->Key, 0, nullptr}};
+    return;
+  }
+  json Body = json::parse(Reply.Body);
+  if (Reply.Status == StatusConflict) {
+    Answer.Rows = detail::parseRows(Body);
+    Answer.Outcome = base::store_outcome::Conflict;
+    return;
+  }
+  std::visit(reply_reader{Body, Answer}, Request);
+  Answer.Outcome = base::store_outcome::Done;
+}
+
+bool isExpectedStatus(const base::store_request &Request, int Status) {
+  if (Status == StatusOk)
+    return true;
+  if (std::holds_alternative<base::read_row>(Request))
+    return Status == StatusNotFound;
+  return Status == StatusConflict &&
+         std::holds_alternative<base::store_transaction>(Request);
+}
+
+bool isRejection(int Status) {
+  return Status >= FirstClientError && Status < FirstServerError;
+}
+
+} // namespace
+
+platform_client::platform_client(std::string Address)
+    : Connection(std::make_unique<http_connection>(std::move(Address))) {}
+
+platform_client::~platform_client() = default;
+platform_client::platform_client(platform_client &&) noexcept = default;
+platform_client &
+platform_client::operator=(platform_client &&) noexcept = default;
+
+base::store_answer platform_client::execute(const base::store_request &Request,
+                                            base::time_point Deadline) {
+  base::store_answer Answer;
+  Answer.SentAt = base::monotonic_clock::now();
+  http_request Head = std::visit(request_builder(), Request);
+  auto Reply = Connection->exchange(Head, Deadline);
+  if (!Reply) {
+    Answer.Outcome = Reply.error().Sent ? base::store_outcome::Unknown
+                                        : base::store_outcome::NotDone;
+    Answer.Failure = Reply.error().Cause;
+    return Answer;
+  }
+  if (!isExpectedStatus(Request, Reply->Status)) {
+    Answer.Outcome = isRejection(Reply->Status) ? base::store_outcome::NotDone
+                                                : base::store_outcome::Unknown;
+    Answer.Failure = statusFailure(Head, Connection->address(), Reply->Status);
+    return Answer;
+  }
+  try {
+    readReply(Request, *Reply, Answer);
+  } catch (const json::exception &Error) {
+    Answer.Outcome = base::store_outcome::Unknown;
+    Answer.Rows.clear();
+    Answer.Failure = protocolFailure(Head, Connection->address(), Error.what());
+  }
+  return Answer;
+}
+
+base::expected<std::vector<base::listed_host>>
+platform_client::readHosts(base::time_point Deadline) {
+  http_request Head{"GET", "/hosts", "", "read host list"};
+  auto Reply = Connection->exchange(Head, Deadline);
+  if (!Reply)
+    return Reply.error().Cause;
+  if (Reply->Status != StatusOk)
+    return statusFailure(Head, Connection->address(), Reply->Status);
+  try {
+    return detail::parseHosts(json::parse(Reply->Body));
+  } catch (const json::exception &Error) {
+    return protocolFailure(Head, Connection->address(), Error.what());
+  }
+}
+
+base::expected<std::optional<std::string>>
+platform_client::getObject(const std::string &Name, base::time_point Deadline) {
+  http_request Head{"GET", "/objects/" + detail::encodeSegment(Name), "",
+                    "get object"};
+  auto Reply = Connection->exchange(Head, Deadline);
+  if (!Reply)
+    return Reply.error().Cause;
+  if (Reply->Status == StatusNotFound)
+    return std::optional<std::string>();
+  if (Reply->Status != StatusOk)
+    return statusFailure(Head, Connection->address(), Reply->Status);
+  return std::optional<std::string>(std::move(Reply->Body));
+}
+
+base::failure platform_client::putObject(const std::string &Name,
+                                         const std::string &Content,
+                                         base::time_point Deadline) {
+  http_request Head{"PUT", "/objects/" + detail::encodeSegment(Name), Content,
+                    "put object"};
+  auto Reply = Connection->exchange(Head, Deadline);
+  if (!Reply)
+    return Reply.error().Cause;
+  if (Reply->Status != StatusOk)
+    return statusFailure(Head, Connection->address(), Reply->Status);
+  return {};
+}
+
+} // namespace radishrelay::platform
--- /dev/null
+++ b/packages/platform/src/stand_in_handler.h
@@ -0,0 +1,41 @@
+#ifndef RADISHRELAY_PLATFORM_SRC_STAND_IN_HANDLER_H
+#define RADISHRELAY_PLATFORM_SRC_STAND_IN_HANDLER_H
+
+#include "stand_in_state.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPResponse.h>
+
+namespace radishrelay::platform::detail {
+
+/// Answers one request to the stand-in platform.
+class stand_in_handler : public Poco::Net::HTTPRequestHandler {
+public:
+  explicit stand_in_handler(stand_in_state &State) : State(State) {}
+
+  void handleRequest(Poco::Net::HTTPServerRequest &Request,
+                     Poco::Net::HTTPServerResponse &Response) override;
+
+private:
+  struct reply {
+    Poco::Net::HTTPResponse::HTTPStatus Status =
+        Poco::Net::HTTPResponse::HTTP_OK;
+    std::string Body;
+  };
+  using path_segments = std::vector<std::string>;
+
+  reply route(const std::string &Method, const path_segments &Path,
+              const std::string &Body);
+  reply control(const std::string &Method, const path_segments &Path,
+                const std::string &Body);
+  reply readTables(const path_segments &Path);
+  reply runTransaction(const std::string &Body);
+  reply useObject(const std::string &Method, const std::string &Name,
+                  const std::string &Body);
+
+  stand_in_state &State;
+};
+
+} // namespace radishrelay::platform::detail
+
+#endif
