--- /dev/null
+++ b/packages/groups/include/radishrelay/groups/group_position.h
@@ -0,0 +1,20 @@
+#ifndef RADISHRELAY_GROUPS_GROUP_POSITION_H
+#define RADISHRELAY_GROUPS_GROUP_POSITION_H
+
+#include "radishrelay/base/identifier.h"
+#include "radishrelay/groups/log_position.h"
+
+namespace radishrelay::groups {
+
+/// A log position together with the database group it belongs to.
+struct group_position {
+  base::group_id Group;
+  log_position Position;
+
+  friend bool operator==(const group_position &,
+                         const group_position &) = default;
+};
+
+} // namespace radishrelay::groups
+
+#endif
--- /dev/null
+++ b/packages/groups/include/radishrelay/groups/signing_key.h
@@ -0,0 +1,19 @@
+#ifndef RADISHRELAY_GROUPS_SIGNING_KEY_H
+#define RADISHRELAY_GROUPS_SIGNING_KEY_H
+
+#include <string>
+
+namespace radishrelay::groups {
+
+/// A secret shared by all hosts, with the id under which tokens name it.
+struct signing_key {
+  /// At most 255 bytes.
+  std::string Id;
+  std::string Secret;
+
+  friend bool operator==(const signing_key &, const signing_key &) = default;
+};
+
+} // namespace radishrelay::groups
+
+#endif
