--- /dev/null
+++ b/packages/daemon/include/radishrelay/daemon/caller_request.h
@@ -0,0 +1,55 @@
+#ifndef RADISHRELAY_DAEMON_CALLER_REQUEST_H
+#define RADISHRELAY_DAEMON_CALLER_REQUEST_H
+
+#include "radishrelay/accounts/key_verifier.h"
+#include "radishrelay/backend/statement.h"
+#include "radishrelay/base/monotonic_clock.h"
+#include "radishrelay/daemon/http_message.h"
+#include "radishrelay/daemon/service_view.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace radishrelay::daemon {
+
+enum class caller_operation {
+  RunRoute,
+  OpenTransaction,
+  CommitTransaction,
+  RollbackTransaction,
+};
+
+/// A well-formed request of a caller whose key was verified. The key itself is
+/// not part of it.
+struct caller_request {
+  caller_connection_id Connection = 0;
+  caller_operation Operation = caller_operation::RunRoute;
+  /// Keeps the route alive and tells under which configuration the key was
+  /// verified.
+  service_view_ptr View;
+  /// Set for RunRoute.
+  const fleet::route *Route = nullptr;
+  /// Empty for a request without a key on an open route.
+  std::optional<accounts::verified_key> Key;
+  /// Set for OpenTransaction.
+  base::group_id Group;
+  std::vector<backend::sql_value> Parameters;
+  /// Values of the headers with these meanings, or empty.
+  std::string IdempotencyKey;
+  std::string Session;
+  std::string Transaction;
+  /// SHA-256 of route name and body.
+  std::string BodyDigest;
+  base::time_point ReceivedAt;
+  base::time_point Deadline;
+
+  /// The client account, or the empty identifier without a key.
+  [[nodiscard]] base::account_id account() const {
+    return Key ? Key->Account : base::account_id();
+  }
+};
+
+} // namespace radishrelay::daemon
+
+#endif
--- a/packages/daemon/include/radishrelay/daemon/problem.h
+++ b/packages/daemon/include/radishrelay/daemon/problem.h
@@ -2,7 +2,7 @@
 #define RADISHRELAY_DAEMON_PROBLEM_H
 
 #include "radishrelay/base/json.h"
-#include "radishrelay/daemon/ran.h"
+#include "radishrelay/groups/ran_state.h"
 
 #include <cstdint>
 #include <string>
@@ -40,7 +40,7 @@
 /// A refusal as the caller sees it (problem details, RFC 9457).
 struct problem {
   problem_code Code = problem_code::Overloaded;
-  ran Ran = ran::No;
+  groups::ran_state Ran = groups::ran_state::No;
   std::string Detail;
   std::string Step;
   std::string Peer;
--- a/packages/daemon/src/caller_connection.cpp
+++ b/packages/daemon/src/caller_connection.cpp
@@ -42,7 +42,7 @@
 }
 
 problem bodyProblem(problem_code Code, const std::string &Detail) {
-  return {Code, ran::No, Detail, "read request", "", 0};
+  return {Code, groups::ran_state::No, Detail, "read request", "", 0};
 }
 
 } // namespace
--- a/packages/daemon/src/problem.cpp
+++ b/packages/daemon/src/problem.cpp
@@ -85,7 +85,7 @@
   if (!Problem.Detail.empty())
     Body["detail"] = Problem.Detail;
   Body["code"] = Row.Name;
-  Body["ran"] = toString(Problem.Ran);
+  Body["ran"] = groups::toString(Problem.Ran);
   if (!Problem.Step.empty())
     Body["step"] = Problem.Step;
   if (!Problem.Peer.empty())
