--- /dev/null
+++ b/packages/fleet/include/radishrelay/fleet/database_group.h
@@ -0,0 +1,27 @@
+#ifndef RADISHRELAY_FLEET_DATABASE_GROUP_H
+#define RADISHRELAY_FLEET_DATABASE_GROUP_H
+
+#include "radishrelay/base/identifier.h"
+#include "radishrelay/fleet/backend_instance.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace radishrelay::fleet {
+
+/// A replicated database.
+struct database_group {
+  base::group_id Id;
+  /// Slots of the database, at least 1.
+  std::int64_t Slots = 1;
+  /// Connections that each instance accepts from the whole fleet.
+  std::int64_t Connections = 1;
+  std::vector<backend_instance> Instances;
+
+  friend auto operator<=>(const database_group &,
+                          const database_group &) = default;
+};
+
+} // namespace radishrelay::fleet
+
+#endif
