--- a/packages/backend/src/backend_loop.cpp
+++ b/packages/backend/src/backend_loop.cpp
@@ -26,10 +26,13 @@
     std::optional<base::time_point> Next;
     if (!Deadlines.empty())
       Next = Deadlines.begin()->first;
-    for (const epoll_event &Event : Poller.wait(Next))
+    auto Ready = Poller.wait(Next);
+    // Before the events: a thread that was paused past a deadline must not
+    // deliver an answer that arrived after it.
+    endOverdue();
+    for (const epoll_event &Event : Ready)
       onReady(Event);
     takeCommands();
-    endOverdue();
   }
   takeCommands();
   dropAll();
--- a/packages/backend/tests/replication_test.cpp
+++ b/packages/backend/tests/replication_test.cpp
@@ -39,6 +39,16 @@
   BOOST_TEST(statusOf(Results.at(0)).AppliedAge.has_value());
 }
 
+// Guards against a lag that is not in force, or delays the other replica.
+BOOST_AUTO_TEST_CASE(leaves_a_lagging_replica_behind) {
+  Group.setLag(2, std::chrono::minutes(10));
+  file(Client.open(Group.address(0)), "1");
+  awaitPosition(1, {1, 2});
+  BOOST_TEST(permitsAt(2) == "0");
+  Group.setLag(2, base::duration::zero());
+  awaitPosition(2, {1, 2});
+}
+
 // Guards against a second instance that accepts writes.
 BOOST_AUTO_TEST_CASE(refuses_writes_on_a_replica) {
   connection_id Replica = Client.open(Group.address(1));
