--- /dev/null
+++ b/packages/groups/include/radishrelay/groups/connection_pool_options.h
@@ -0,0 +1,37 @@
+#ifndef RADISHRELAY_GROUPS_CONNECTION_POOL_OPTIONS_H
+#define RADISHRELAY_GROUPS_CONNECTION_POOL_OPTIONS_H
+
+#include "radishrelay/base/monotonic_clock.h"
+#include "radishrelay/groups/connection_number.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace radishrelay::groups {
+
+/// Settings of a connection pool.
+struct connection_pool_options {
+  /// Connections of this host to the instance, the control connection
+  /// included.
+  std::uint32_t Quota = 2;
+  /// Smallest number given to a connection; pools of a process use disjoint
+  /// ranges.
+  connection_number FirstNumber = 1;
+  /// Least time between two attempts; a new connection takes about as long.
+  base::duration OpenInterval = std::chrono::milliseconds(10);
+  /// Longest pause after repeated failures to open.
+  base::duration MaxOpenPause = std::chrono::seconds(1);
+  base::duration OpenTimeout = std::chrono::seconds(1);
+  base::duration ResetTimeout = std::chrono::seconds(1);
+  /// An unused work connection is closed after this time.
+  base::duration IdleLifetime = std::chrono::seconds(60);
+  /// Seed of the jitter of pauses; differs between hosts.
+  std::uint64_t Seed = 1;
+
+  friend bool operator==(const connection_pool_options &,
+                         const connection_pool_options &) = default;
+};
+
+} // namespace radishrelay::groups
+
+#endif
--- a/packages/groups/include/radishrelay/groups/request_error.h
+++ b/packages/groups/include/radishrelay/groups/request_error.h
@@ -19,6 +19,8 @@
   NotPrimary,
   /// The transaction does not exist any more.
   TransactionLost,
+  /// The transaction runs another request.
+  TransactionBusy,
 };
 
 const std::error_category &requestCategory();
--- a/packages/groups/src/request_error.cpp
+++ b/packages/groups/src/request_error.cpp
@@ -26,6 +26,8 @@
       return "the instance is not the primary";
     case request_error::TransactionLost:
       return "the transaction does not exist any more";
+    case request_error::TransactionBusy:
+      return "the transaction runs another request";
     }
     return "unknown request error";
   }
