--- a/packages/cli/src/operator_commands.cpp
+++ b/packages/cli/src/operator_commands.cpp
@@ -30,7 +30,8 @@
 options::options_description endpointOptions() {
   options::options_description Options("Options");
   auto Add = Options.add_options();
-  Add("operators", options::value<std::string>()->default_value("127.0.0.1:8081"),
+  Add("operators",
+      options::value<std::string>()->default_value("127.0.0.1:8081"),
       "address of a host's operators' listener");
   Add("token-file", options::value<std::string>(),
       "file with the operator's token; else the environment variable "
--- a/packages/cli/src/secret_commands.cpp
+++ b/packages/cli/src/secret_commands.cpp
@@ -22,9 +22,9 @@
   if (!Values)
     return Code;
   base::account_id Account((*Values)["account"].as<std::string>());
-  auto Key = accounts::createKey(
-      Account, (*Values)["id"].as<std::string>(),
-      base::secureRandomBytes(accounts::KeyRandomBytes));
+  auto Key =
+      accounts::createKey(Account, (*Values)["id"].as<std::string>(),
+                          base::secureRandomBytes(accounts::KeyRandomBytes));
   if (!Key) {
     Streams.Error << "radishrelay: " << Key.error() << "\n";
     return exit_code::Usage;
@@ -37,7 +37,8 @@
                       {"digest", Key->Record.Digest}};
   Streams.Error << "radishrelay: give the key to the client account; it is "
                    "not stored anywhere\n";
-  Streams.Out << base::json{{"key", Key->Text}, {"operation", Operation}}.dump(2)
+  Streams.Out << base::json{{"key", Key->Text}, {"operation", Operation}}.dump(
+                     2)
               << "\n";
   return exit_code::Success;
 }
--- a/packages/daemon/include/radishrelay/daemon/http_message.h
+++ b/packages/daemon/include/radishrelay/daemon/http_message.h
@@ -1,9 +1,11 @@
 #ifndef RADISHRELAY_DAEMON_HTTP_MESSAGE_H
 #define RADISHRELAY_DAEMON_HTTP_MESSAGE_H
 
+#include "radishrelay/base/monotonic_clock.h"
 #include "radishrelay/daemon/problem.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,6 +43,9 @@
   std::vector<http_header> Headers;
   std::string Body;
   bool CloseConnection = false;
+  /// The answer rests on evidence that ends then; the listener sends
+  /// "outcome unknown" instead when it is too late.
+  std::optional<base::time_point> ValidUntil;
 };
 
 /// Answer that carries a refusal.
--- /dev/null
+++ b/packages/daemon/include/radishrelay/daemon/instance_link.h
@@ -0,0 +1,101 @@
+#ifndef RADISHRELAY_DAEMON_INSTANCE_LINK_H
+#define RADISHRELAY_DAEMON_INSTANCE_LINK_H
+
+#include "radishrelay/backend/backend_event.h"
+#include "radishrelay/base/identifier.h"
+#include "radishrelay/daemon/group_outputs.h"
+#include "radishrelay/groups/connection_pool.h"
+#include "radishrelay/groups/instance_answer.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace radishrelay::daemon {
+
+/// Where an instance is reached, and with which quota.
+struct instance_link_options {
+  base::instance_id Instance;
+  /// "IP:PORT".
+  std::string Address;
+  std::string Database;
+  groups::connection_pool_options Pool;
+};
+
+/// Connections of this host to one instance: carries out what the pool
+/// decides, and runs status, raise and promote calls on the control
+/// connection.
+class instance_link {
+public:
+  instance_link(instance_link_options Options, group_outputs &Outputs);
+
+  /// Runs the call as soon as the control connection is ready. Status calls
+  /// that wait together share one run.
+  void call(const groups::instance_call &Call, base::time_point Now);
+
+  /// Takes a ready work connection; empty when there is none.
+  std::optional<groups::connection_number> take() { return Pool.take(); }
+
+  void setDemand(std::size_t Waiting, base::time_point Now);
+  void giveBack(groups::connection_number Connection,
+                groups::connection_use_end End, base::time_point Now);
+  void setLeaving(bool Leaving, base::time_point Now);
+  void setQuota(std::uint32_t Quota, base::time_point Now);
+
+  void onOpened(groups::connection_number Connection, base::time_point Now);
+  void onClosed(groups::connection_number Connection, base::time_point Now);
+  /// Returns false when the run is not one of this link.
+  bool onRunFinished(const backend::run_finished &Event, base::time_point Now);
+
+  void tick(base::time_point Now);
+
+  /// The ends of calls since the last time this was called.
+  std::vector<groups::instance_answer> takeAnswers();
+
+  [[nodiscard]] std::optional<base::time_point> nextWake() const;
+  [[nodiscard]] const instance_link_options &options() const { return Options; }
+  [[nodiscard]] std::size_t connectionCount() const { return Pool.size(); }
+  [[nodiscard]] base::json dump() const;
+
+private:
+  /// The calls that a run on the control connection answers.
+  using call_batch = std::vector<groups::instance_call>;
+
+  struct reset_run {
+    groups::connection_number Connection = 0;
+    std::vector<groups::planned_statement> Left;
+    base::time_point Deadline;
+  };
+
+  void apply(const groups::pool_actions &Actions, base::time_point Now);
+  void on(const groups::open_pooled &Action, base::time_point Now);
+  void on(const groups::reset_pooled &Action, base::time_point Now);
+  void on(const groups::close_pooled &Action, base::time_point Now);
+  void startReset(reset_run Reset, base::time_point Now);
+  void finishReset(reset_run Reset, const backend::run_finished &Event,
+                   base::time_point Now);
+  void startCalls(base::time_point Now);
+  call_batch nextBatch();
+  void finishCalls(const call_batch &Calls, const backend::run_finished &Event);
+  void expireCalls(base::time_point Now);
+  bool submitRun(groups::connection_number Connection, backend::run_id Run,
+                 std::vector<backend::statement> Statements,
+                 base::time_point Deadline);
+
+  instance_link_options Options;
+  group_outputs &Outputs;
+  groups::connection_pool Pool;
+  std::deque<groups::instance_call> WaitingCalls;
+  std::map<backend::run_id, call_batch> CallRuns;
+  std::map<backend::run_id, reset_run> ResetRuns;
+  std::vector<groups::instance_answer> Answers;
+};
+
+/// Converts a statement of the decisions to one of the backend thread.
+backend::statement toBackend(const groups::planned_statement &Statement);
+
+} // namespace radishrelay::daemon
+
+#endif
--- a/packages/daemon/src/caller_listener.cpp
+++ b/packages/daemon/src/caller_listener.cpp
@@ -12,6 +12,17 @@
 constexpr int AcceptsPerWait = 64;
 constexpr int PollMilliseconds = 100;
 
+/// A process that was paused between the decision and this point must not
+/// acknowledge a write on evidence that has ended.
+void replaceIfLate(http_answer &Answer) {
+  if (!Answer.ValidUntil || base::monotonic_clock::now() < *Answer.ValidUntil)
+    return;
+  Answer = problemAnswer(
+      Answer.Connection,
+      {problem_code::OutcomeUnknown, groups::ran_state::Unknown,
+       "the evidence ended before the answer was sent", "send answer", "", 0});
+}
+
 } // namespace
 
 caller_listener::caller_listener(const Poco::Net::ServerSocket &Socket,
@@ -150,6 +161,7 @@
     if (Found == Connections.end())
       continue;
     caller_connection_ptr Connection = Found->second;
+    replaceIfLate(*Answer);
     Answer->CloseConnection = Answer->CloseConnection || !Accepting;
     Connection->queueAnswer(*Answer);
     serve(*Connection);
--- a/packages/daemon/src/request_reader.cpp
+++ b/packages/daemon/src/request_reader.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t MaxIdempotencyKeyBytes = 255;
 
 problem refuse(problem_code Code, std::string Detail) {
-  return {Code, groups::ran_state::No, std::move(Detail), "read request", "", 0};
+  return {Code, groups::ran_state::No, std::move(Detail), "read request", "",
+          0};
 }
 
 /// Reads one request in steps. Each step returns false once it has set
@@ -150,8 +151,8 @@
       return readGroup();
     if (Result.Operation != caller_operation::RunRoute)
       return true;
-    Result.BodyDigest = base::encodeHex(
-        base::sha256(Result.Route->Name + "\n" + Request.Body));
+    Result.BodyDigest =
+        base::encodeHex(base::sha256(Result.Route->Name + "\n" + Request.Body));
     return readParameters();
   }
 
--- a/packages/daemon/tests/caller_listener_test.cpp
+++ b/packages/daemon/tests/caller_listener_test.cpp
@@ -129,6 +129,19 @@
   BOOST_TEST(Answers.find("late") < Answers.find("/now:1"));
 }
 
+BOOST_AUTO_TEST_CASE(and_turns_a_late_acknowledgement_into_outcome_unknown) {
+  Poco::Net::StreamSocket Socket = connect();
+  send(Socket, post("/later", ""));
+  http_answer Answer;
+  Answer.Connection = Open.get_future().get();
+  Answer.Body = "\"acknowledged\"";
+  Answer.ValidUntil = base::monotonic_clock::now();
+  Listener.sendAnswer(std::move(Answer));
+  std::string Text = readUntil(Socket, "ran");
+  BOOST_TEST(contains(Text, "HTTP/1.1 504"));
+  BOOST_TEST(!contains(Text, "acknowledged"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(refuses_what_it_cannot_read)
