Decide write acknowledgement and failover

Cause: a write may be acknowledged only when no later failover can lose it, and nothing but the proxies replaces a failed primary.

Change: write_tracker decides committed writes by dated statuses under one of three strategies; group_failover probes, exchanges suspicions, promotes and names the primary for routing; write_attempt keeps the refusal 'not run' true. backoff and retry_budget are new in base.

--- /dev/null
+++ b/packages/base/src/backoff.cpp
@@ -0,0 +1,23 @@
+#include "radishrelay/base/backoff.h"
+
+#include <algorithm>
+
+namespace radishrelay::base {
+
+duration backoff::bound() const {
+  constexpr std::uint32_t LargestShift = 20; // keeps the product in range
+  std::uint32_t Shift = std::min(Attempts, LargestShift);
+  return std::min(Cap, First * (std::int64_t{1} << Shift));
+}
+
+time_point backoff::next(time_point Now, random_generator &Random) {
+  auto Range = static_cast<std::uint64_t>(bound().count());
+  ++Attempts;
+  return Now + duration(static_cast<std::int64_t>(Random.below(Range + 1)));
+}
+
+json backoff::dump() const {
+  return {{"attempts", Attempts}, {"bound_us", bound().count()}};
+}
+
+} // namespace radishrelay::base
--- /dev/null
+++ b/packages/base/tests/retry_test.cpp
@@ -0,0 +1,41 @@
+#include "radishrelay/base/backoff.h"
+#include "radishrelay/base/retry_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace radishrelay::base;
+using std::chrono::milliseconds;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(retries)
+
+// Guards against hosts that retry in step or ever more slowly without bound.
+BOOST_AUTO_TEST_CASE(waits_are_spread_below_a_growing_bound_with_a_cap) {
+  random_generator Random(7);
+  backoff Backoff(milliseconds(10), milliseconds(40));
+  duration Largest{};
+  for (int Attempt = 0; Attempt < 200; ++Attempt) {
+    duration Wait = Backoff.next(time_point(), Random).time_since_epoch();
+    BOOST_TEST((Attempt > 0 || Wait <= milliseconds(10)));
+    Largest = std::max(Largest, Wait);
+  }
+  BOOST_TEST((Largest <= milliseconds(40)));
+  BOOST_TEST((Largest > milliseconds(20)));
+}
+
+// Guards against retries that multiply the load on a failing peer.
+BOOST_AUTO_TEST_CASE(budget_allows_a_burst_then_a_steady_rate) {
+  retry_budget Budget(2, milliseconds(100));
+  time_point Start = fromMicroseconds(5'000'000);
+  BOOST_TEST(Budget.tryTake(Start));
+  BOOST_TEST(Budget.tryTake(Start));
+  BOOST_TEST(!Budget.tryTake(Start));
+  BOOST_TEST((Budget.availableAt() == Start + milliseconds(100)));
+  BOOST_TEST(Budget.tryTake(Start + milliseconds(100)));
+  BOOST_TEST(!Budget.tryTake(Start + milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/groups/include/radishrelay/groups/primary_suspicion.h
@@ -0,0 +1,59 @@
+#ifndef RADISHRELAY_GROUPS_PRIMARY_SUSPICION_H
+#define RADISHRELAY_GROUPS_PRIMARY_SUSPICION_H
+
+#include "radishrelay/base/json.h"
+#include "radishrelay/groups/failover_options.h"
+#include "radishrelay/groups/reachable_domains.h"
+#include "radishrelay/groups/suspicion.h"
+
+#include <map>
+
+namespace radishrelay::groups {
+
+/// Decides whether the primary of the current term is to be replaced: this
+/// host's consecutive failed probes and the suspicions of other hosts.
+class primary_suspicion {
+public:
+  explicit primary_suspicion(const failover_options &Options)
+      : Options(Options) {}
+
+  /// Starts over for a newer term; keeps the state for the same one.
+  void setTerm(term_number Term);
+
+  void noteSuccess() { Failures = 0; }
+  void noteFailure() { ++Failures; }
+
+  /// Takes another host's message; counts for SuspicionLifetime.
+  void receive(const suspicion &Message, base::time_point Now);
+
+  void setReachable(const reachable_domains &Reachable);
+
+  /// True when this host suspects the primary by its own probes.
+  [[nodiscard]] bool isSuspected() const;
+
+  /// True while another failure domain's suspicion counts.
+  [[nodiscard]] bool isReported(base::time_point Now) const;
+
+  /// True when hosts in enough failure domains agree: two, or all reachable
+  /// ones if \p OthersRespond, that is, a majority of the instances answers
+  /// without the primary.
+  [[nodiscard]] bool isConfirmed(bool OthersRespond,
+                                 base::time_point Now) const;
+
+  /// The message for the other hosts.
+  [[nodiscard]] suspicion message() const;
+
+  [[nodiscard]] base::json dump() const;
+
+private:
+  failover_options Options;
+  term_number Term = 0;
+  std::uint32_t Failures = 0;
+  std::set<base::failure_domain_id> Reachable;
+  /// Until when the suspicion of a failure domain's hosts counts.
+  std::map<base::failure_domain_id, base::time_point> Agreeing;
+};
+
+} // namespace radishrelay::groups
+
+#endif
--- /dev/null
+++ b/packages/groups/include/radishrelay/groups/suspicion.h
@@ -0,0 +1,22 @@
+#ifndef RADISHRELAY_GROUPS_SUSPICION_H
+#define RADISHRELAY_GROUPS_SUSPICION_H
+
+#include "radishrelay/base/identifier.h"
+#include "radishrelay/groups/log_position.h"
+
+namespace radishrelay::groups {
+
+/// Message from host to hosts: the sender's probes of the primary of \p Term
+/// have failed. Action for the sender, event for the receiver.
+struct suspicion {
+  base::group_id Group;
+  term_number Term = 0;
+  base::host_id Host;
+  base::failure_domain_id FailureDomain;
+
+  friend bool operator==(const suspicion &, const suspicion &) = default;
+};
+
+} // namespace radishrelay::groups
+
+#endif
--- /dev/null
+++ b/packages/groups/include/radishrelay/groups/term_lease.h
@@ -0,0 +1,21 @@
+#ifndef RADISHRELAY_GROUPS_TERM_LEASE_H
+#define RADISHRELAY_GROUPS_TERM_LEASE_H
+
+#include "radishrelay/base/monotonic_clock.h"
+#include "radishrelay/groups/log_position.h"
+
+namespace radishrelay::groups {
+
+/// Event: the table service showed \p Term as the current one. A promoter of a
+/// later term waits until every such lease has ended.
+struct term_lease {
+  term_number Term = 0;
+  /// Counted from before the request to the table service was sent.
+  base::time_point Deadline;
+
+  friend bool operator==(const term_lease &, const term_lease &) = default;
+};
+
+} // namespace radishrelay::groups
+
+#endif
--- /dev/null
+++ b/packages/groups/include/radishrelay/groups/term_lease_strategy.h
@@ -0,0 +1,25 @@
+#ifndef RADISHRELAY_GROUPS_TERM_LEASE_STRATEGY_H
+#define RADISHRELAY_GROUPS_TERM_LEASE_STRATEGY_H
+
+#include "radishrelay/groups/acknowledgement_strategy.h"
+
+namespace radishrelay::groups {
+
+/// Acknowledges a committed write at once while the term is leased from the
+/// table service. Replication is asynchronous, so a failover can lose
+/// acknowledged writes; kept for measurement.
+class term_lease_strategy : public acknowledgement_strategy {
+public:
+  [[nodiscard]] std::string_view name() const override { return "term_lease"; }
+  [[nodiscard]] write_verdict judge(const committed_write &Write,
+                                    const evidence_book &Evidence,
+                                    const term_lease &Lease,
+                                    base::time_point Now) const override;
+  [[nodiscard]] bool needsStatuses() const override { return false; }
+  [[nodiscard]] bool allocatesTermInStore() const override { return true; }
+  [[nodiscard]] bool waitsForLeases() const override { return true; }
+};
+
+} // namespace radishrelay::groups
+
+#endif
--- /dev/null
+++ b/packages/groups/src/evidence_book.cpp
@@ -0,0 +1,71 @@
+#include "radishrelay/groups/evidence_book.h"
+
+#include <algorithm>
+
+namespace radishrelay::groups {
+
+evidence_book::evidence_book(std::vector<base::instance_id> Instances)
+    : Instances(std::move(Instances)) {}
+
+bool evidence_book::record(const instance_answer &Answer) {
+  const base::instance_id &Instance = Answer.Call.Instance;
+  if (!Answer.Status ||
+      std::ranges::find(Instances, Instance) == Instances.end())
+    return false;
+  auto Known = Latest.find(Instance);
+  if (Known != Latest.end() && Known->second.AskedAt > Answer.AskedAt)
+    return false;
+  Latest[Instance] = {*Answer.Status, Answer.AskedAt, Answer.Call.Deadline};
+  return true;
+}
+
+const dated_status *
+evidence_book::find(const base::instance_id &Instance) const {
+  auto Known = Latest.find(Instance);
+  return Known == Latest.end() ? nullptr : &Known->second;
+}
+
+term_number evidence_book::highestTerm() const {
+  term_number Highest = 0;
+  for (const auto &[Instance, Dated] : Latest)
+    Highest = std::max(
+        {Highest, Dated.Status.Position.Term, Dated.Status.RaisedTerm});
+  return Highest;
+}
+
+bool evidence_book::isSuperseded(term_number Term) const {
+  std::size_t Raised = 0;
+  for (const auto &[Instance, Dated] : Latest) {
+    if (Dated.Status.Position.Term > Term)
+      return true;
+    if (Dated.Status.RaisedTerm > Term)
+      ++Raised;
+  }
+  return Raised >= majority();
+}
+
+base::json evidence_book::dump() const {
+  base::json Object = base::json::object();
+  for (const auto &[Instance, Dated] : Latest)
+    Object[Instance.str()] = {
+        {"term", Dated.Status.Position.Term},
+        {"position", Dated.Status.Position.Offset},
+        {"raised_term", Dated.Status.RaisedTerm},
+        {"primary", Dated.Status.Role == instance_role::Primary},
+        {"asked_at_us", base::toMicroseconds(Dated.AskedAt)},
+        {"deadline_us", base::toMicroseconds(Dated.Deadline)}};
+  return Object;
+}
+
+log_position lastEntry(const instance_status &Status) {
+  log_position Last = Status.Position;
+  for (const log_position &Start : Status.TermStarts) {
+    if (Start.Offset <= Status.Position.Offset)
+      continue;
+    // The log ends before this term begins: its last entry is of an older one.
+    Last.Term = std::min(Last.Term, Start.Term - 1);
+  }
+  return Last;
+}
+
+} // namespace radishrelay::groups
--- /dev/null
+++ b/packages/groups/src/promoter_store.cpp
@@ -0,0 +1,134 @@
+// The promoter's steps in the table service.
+#include "radishrelay/groups/promoter.h"
+
+#include <algorithm>
+
+namespace radishrelay::groups {
+
+namespace {
+
+const base::table_row *findRow(const base::store_answer &Answer,
+                               const base::row_key &Key) {
+  auto Row = std::ranges::find(Answer.Rows, Key, &base::table_row::Key);
+  return Row == Answer.Rows.end() ? nullptr : &*Row;
+}
+
+} // namespace
+
+void promoter::send(base::store_request Request, base::time_point Now,
+                    failover_actions &Actions) {
+  IsCallOpen = true;
+  DueAt = Now + Options.StoreTimeout;
+  Actions.push_back(store_call{++LastCall, std::move(Request), DueAt});
+}
+
+void promoter::readRecord(promotion_stage Next, base::time_point Now,
+                          failover_actions &Actions) {
+  enter(Next, Now);
+  send(base::read_row{groupRecordKey(Options.Group)}, Now, Actions);
+}
+
+void promoter::writeRecord(promotion_stage Next, base::time_point Now,
+                           failover_actions &Actions) {
+  enter(Next, Now);
+  base::row_key Key = groupRecordKey(Options.Group);
+  base::store_transaction Transaction;
+  Transaction.Conditions.push_back({Key, Version});
+  Transaction.Writes.push_back({Key, toJson(Record)});
+  send(std::move(Transaction), Now, Actions);
+}
+
+void promoter::handle(const store_call_answer &Answer, base::time_point Now,
+                      failover_actions &Actions) {
+  if (IsCallOpen && Answer.Id == LastCall)
+    takeAnswer(Answer.Answer, Now, Actions);
+}
+
+void promoter::takeAnswer(const base::store_answer &Answer,
+                          base::time_point Now, failover_actions &Actions) {
+  IsCallOpen = false;
+  if (Stage == promotion_stage::Reading)
+    onRead(Answer, Now, Actions);
+  else if (Stage == promotion_stage::Claiming)
+    onClaim(Answer, Now, Actions);
+  else if (Stage == promotion_stage::ReadingBack)
+    onReadBack(Answer, Now, Actions);
+  else if (Stage == promotion_stage::Recording)
+    onRecorded(Answer, Now);
+}
+
+void promoter::onRead(const base::store_answer &Answer, base::time_point Now,
+                      failover_actions &Actions) {
+  if (Answer.Outcome == base::store_outcome::Done)
+    considerRow(Answer, Now, Actions);
+  else
+    backOff(Now);
+}
+
+void promoter::considerRow(const base::store_answer &Answer,
+                           base::time_point Now, failover_actions &Actions) {
+  const base::table_row *Row = findRow(Answer, groupRecordKey(Options.Group));
+  group_record Stored = Row ? parseGroupRecord(Row->Value) : group_record{};
+  Version = Row ? Row->Version : 0;
+  bool IsOthers = Stored.Term > SuspectedTerm && Stored.Promoter != self();
+  if (IsOthers && RespectedVersion != Version) {
+    // Another promoter is at work or has just finished: give it time, once.
+    RespectedVersion = Version;
+    finish(Now + Options.TakeoverDelay);
+    return;
+  }
+  newTerm(Stored.Term);
+  writeRecord(promotion_stage::Claiming, Now, Actions);
+}
+
+void promoter::onClaim(const base::store_answer &Answer, base::time_point Now,
+                       failover_actions &Actions) {
+  if (Answer.Outcome == base::store_outcome::Done)
+    claimed(Answer.Version, Now, Actions);
+  else if (Answer.Outcome == base::store_outcome::NotDone)
+    backOff(Now);
+  else // After a conflict the row tells whether an own write was repeated.
+    readRecord(promotion_stage::ReadingBack, Now, Actions);
+}
+
+void promoter::onReadBack(const base::store_answer &Answer,
+                          base::time_point Now, failover_actions &Actions) {
+  if (Answer.Outcome != base::store_outcome::Done) {
+    enter(promotion_stage::ReadingBack, Backoff.next(Now, Random));
+    return;
+  }
+  const base::table_row *Row = findRow(Answer, groupRecordKey(Options.Group));
+  group_record Stored = Row ? parseGroupRecord(Row->Value) : group_record{};
+  bool IsOwn = Stored.Promoter == Record.Promoter &&
+               Stored.Operation == Record.Operation;
+  if (IsOwn)
+    claimed(Row->Version, Now, Actions);
+  else if (Stored.Term <= SuspectedTerm)
+    backOff(Now); // Not in effect, or not yet: a later attempt uses a new term.
+  else
+    considerRow(Answer, Now, Actions);
+}
+
+void promoter::claimed(base::row_version NewVersion, base::time_point Now,
+                       failover_actions &Actions) {
+  Version = NewVersion;
+  if (!Strategy->waitsForLeases()) {
+    beginRaising(Now, Actions);
+    return;
+  }
+  // Any lease on an older term was asked for before the claim took effect.
+  enter(promotion_stage::AwaitingLeases,
+        Now + Options.LeaseDuration + Options.LeaseMargin);
+}
+
+void promoter::onRecorded(const base::store_answer &Answer,
+                          base::time_point Now) {
+  bool IsEnded = Answer.Outcome == base::store_outcome::Done ||
+                 Answer.Outcome == base::store_outcome::Conflict;
+  if (IsEnded)
+    finish(NotBefore);
+  else
+    enter(promotion_stage::Recording, Backoff.next(Now, Random));
+}
+
+} // namespace radishrelay::groups
--- /dev/null
+++ b/packages/groups/tests/failover_test.cpp
@@ -0,0 +1,266 @@
+#include "simulation/simulation.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace radishrelay;
+using namespace radishrelay::groups;
+using namespace radishrelay::groups::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A group whose primary is instance 0, a second after the start.
+struct running_group {
+  running_group() { run(seconds(1)); }
+
+  void run(base::duration Length) { World.runUntil(World.Now + Length); }
+
+  /// True when all hosts name the same primary of a term.
+  bool allSee(term_number Term, const char *Primary) {
+    return std::ranges::all_of(World.Hosts, [&](const sim_host &Host) {
+      const group_view &View = Host.Failover->view();
+      return View.Term == Term && View.Primary == base::instance_id(Primary);
+    });
+  }
+
+  /// True when all hosts agree on a primary of \p Term other than i0.
+  bool hasFailedOver(term_number Term) {
+    return allSee(Term, "i1") || allSee(Term, "i2");
+  }
+
+  /// Runs until a host's promoter is in \p Stage and returns that host.
+  sim_host &runTo(promotion_stage Stage) {
+    base::time_point End = World.Now + seconds(5);
+    while (World.Now < End) {
+      World.step();
+      for (sim_host &Host : World.Hosts)
+        if (Host.Failover->promotionStage() == Stage)
+          return Host;
+    }
+    BOOST_FAIL("no promoter reached the stage");
+    return World.Hosts.front();
+  }
+
+  simulation World{simulation_options{}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(failover, running_group)
+
+BOOST_AUTO_TEST_SUITE(a_healthy_primary_stays)
+
+// Guards against promotions without a failure.
+BOOST_AUTO_TEST_CASE(without_faults) {
+  run(seconds(20));
+  BOOST_TEST(allSee(1, "i0"));
+  BOOST_TEST(World.Store.Writes == 0U);
+}
+
+// Guards against flapping on one slow probe.
+BOOST_AUTO_TEST_CASE(when_it_pauses_for_one_probe) {
+  World.Instances[0].PausedUntil = World.Now + milliseconds(220);
+  run(seconds(3));
+  BOOST_TEST(allSee(1, "i0"));
+}
+
+// Guards against one failure domain that decides alone.
+BOOST_AUTO_TEST_CASE(when_one_domain_loses_it) {
+  for (sim_host &Host : World.Hosts)
+    Host.Failover->handle(reachable_domains{{base::failure_domain_id("d0"),
+                                             base::failure_domain_id("d1"),
+                                             base::failure_domain_id("d2")}},
+                          World.Now);
+  World.IsCut[2][0] = World.IsCut[0][2] = true;
+  run(seconds(5));
+  BOOST_TEST(World.Store.Writes == 0U);
+  BOOST_TEST(World.Instances[0].RaisedTerm == 1U);
+}
+
+// Guards against a host that takes its own pause for the primary's.
+BOOST_AUTO_TEST_CASE(when_a_host_resumes) {
+  World.Hosts[1].PausedUntil = World.Now + seconds(5);
+  run(seconds(8));
+  BOOST_TEST(allSee(1, "i0"));
+}
+
+// Guards against writes that need the store.
+BOOST_AUTO_TEST_CASE(while_the_store_is_down) {
+  World.Store.Mode = store_mode::Down;
+  std::size_t Before = World.Ended.size();
+  run(seconds(20));
+  BOOST_TEST(World.Ended.size() > Before + 5000);
+  for (write_id Write : World.Ended)
+    BOOST_REQUIRE((World.Writes[Write].Result == write_result::Acknowledged));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_failed_primary_is_replaced)
+
+BOOST_AUTO_TEST_CASE(when_it_is_dead) {
+  simulation::crash(World.Instances[0]);
+  run(seconds(2));
+  BOOST_TEST(hasFailedOver(2));
+  BOOST_TEST((World.Store.record().Primary ==
+              World.Hosts[0].Failover->view().Primary));
+}
+
+BOOST_AUTO_TEST_CASE(when_it_is_silent) {
+  World.Instances[0].PausedUntil = World.Now + seconds(60);
+  run(seconds(2));
+  BOOST_TEST(hasFailedOver(2));
+}
+
+// Guards against a primary that serves its own domain only.
+BOOST_AUTO_TEST_CASE(when_it_is_partitioned) {
+  World.isolate(0, true);
+  run(seconds(2));
+  BOOST_TEST(World.Hosts[1].Failover->view().Term == 2U);
+  BOOST_TEST(World.Hosts[2].Failover->view().Primary.has_value());
+  World.isolate(0, false);
+  run(seconds(2));
+  BOOST_TEST(hasFailedOver(2));
+}
+
+// Guards against waiting for domains that cannot be reached.
+BOOST_AUTO_TEST_CASE(by_one_domain_that_reaches_no_other) {
+  simulation::crash(World.Instances[0]);
+  simulation::crash(World.Hosts[0]);
+  simulation::crash(World.Hosts[1]);
+  World.Hosts[2].Failover->handle(
+      reachable_domains{{base::failure_domain_id("d2")}}, World.Now);
+  run(seconds(2));
+  BOOST_TEST(World.Hosts[2].Failover->view().Term == 2U);
+}
+
+// Guards against a primary of a lower term that takes writes again.
+BOOST_AUTO_TEST_CASE(and_follows_when_it_returns) {
+  simulation::crash(World.Instances[0]);
+  run(seconds(2));
+  World.Instances[0].IsAlive = true;
+  run(seconds(2));
+  BOOST_TEST((World.Instances[0].Role == instance_role::Replica));
+  BOOST_TEST(World.Instances[0].Term == 2U);
+  BOOST_TEST(hasFailedOver(2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_store_fails)
+
+// Guards against a promotion in a term that nobody owns.
+BOOST_AUTO_TEST_CASE(before_a_promotion_so_none_starts) {
+  World.Store.Mode = store_mode::Down;
+  simulation::crash(World.Instances[0]);
+  run(seconds(10));
+  for (const fake_instance &Instance : World.Instances)
+    BOOST_TEST(Instance.RaisedTerm == 1U);
+  World.Store.Mode = store_mode::Up;
+  run(seconds(5));
+  BOOST_TEST(World.Hosts[1].Failover->view().Primary.has_value());
+}
+
+// Guards against hosts that wait for the store to learn the new primary.
+BOOST_AUTO_TEST_CASE(after_the_claim_so_probing_finds_the_primary) {
+  simulation::crash(World.Instances[0]);
+  runTo(promotion_stage::Raising);
+  World.Store.Mode = store_mode::Down;
+  run(seconds(3));
+  BOOST_TEST(hasFailedOver(2));
+  BOOST_TEST(!World.Store.record().Primary.has_value());
+  World.Store.Mode = store_mode::Up;
+  run(seconds(3));
+  BOOST_TEST(World.Store.record().Primary.has_value());
+}
+
+// Guards against a claim that is taken for lost, or made twice.
+BOOST_AUTO_TEST_CASE(and_loses_the_answer_to_the_claim) {
+  simulation::crash(World.Instances[0]);
+  runTo(promotion_stage::Claiming);
+  World.Store.Mode = store_mode::LosesAnswers;
+  runTo(promotion_stage::ReadingBack);
+  World.Store.Mode = store_mode::Up;
+  runTo(promotion_stage::Raising);
+  run(seconds(2));
+  BOOST_TEST(hasFailedOver(2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_promoter_fails)
+
+// Guards against a group without a primary after half a promotion.
+BOOST_AUTO_TEST_CASE(dies_midway_so_another_uses_the_next_term) {
+  simulation::crash(World.Instances[0]);
+  simulation::crash(runTo(promotion_stage::Promoting));
+  run(seconds(4));
+  auto IsServed = [](const sim_host &Host) {
+    return !Host.IsAlive || Host.Failover->view().Primary.has_value();
+  };
+  BOOST_TEST(std::ranges::all_of(World.Hosts, IsServed));
+}
+
+// Guards against a second primary by a promoter that resumes.
+BOOST_AUTO_TEST_CASE(pauses_midway_and_is_too_late) {
+  simulation::crash(World.Instances[0]);
+  runTo(promotion_stage::Raising).PausedUntil = World.Now + seconds(6);
+  run(seconds(5));
+  BOOST_TEST(World.Store.record().Term == 3U);
+  run(seconds(5));
+  BOOST_TEST(hasFailedOver(3));
+}
+
+// Guards against a race for the term that ends with two owners.
+BOOST_AUTO_TEST_CASE(races_with_others) {
+  simulation::crash(World.Instances[0]);
+  run(milliseconds(300));
+  for (sim_host &Host : World.Hosts)
+    Host.PausedUntil = World.Now + milliseconds(400);
+  run(seconds(4));
+  BOOST_TEST(hasFailedOver(World.Store.record().Term));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(two_failures_at_once)
+
+// Guards against a promotion of the less advanced of two replicas.
+BOOST_AUTO_TEST_CASE(primary_dies_while_a_replica_lags) {
+  World.IsCut[0][1] = true;
+  run(seconds(1));
+  World.IsCut[0][1] = false;
+  simulation::crash(World.Instances[0]);
+  run(seconds(2));
+  BOOST_TEST(allSee(2, "i2"));
+}
+
+// Guards against a term raised by a dead promoter that blocks the primary.
+BOOST_AUTO_TEST_CASE(promoter_and_its_candidate_die) {
+  simulation::crash(World.Instances[0]);
+  simulation::crash(runTo(promotion_stage::Promoting));
+  run(milliseconds(100));
+  World.Instances[0].IsAlive = true;
+  simulation::crash(World.Instances[1]);
+  run(seconds(5));
+  BOOST_TEST(World.Instances[2].Term > 1U);
+  BOOST_TEST((World.Instances[0].Role == instance_role::Primary ||
+              World.Instances[2].Role == instance_role::Primary));
+}
+
+// Guards against an acknowledgement by a primary that has been replaced.
+BOOST_AUTO_TEST_CASE(host_stays_with_a_partitioned_primary) {
+  World.isolate(0, true);
+  run(seconds(4));
+  std::size_t Acknowledged = 0;
+  for (write_id Write : World.Ended)
+    if (World.Writes[Write].Result == write_result::Acknowledged)
+      Acknowledged +=
+          World.Writes[Write].Position.Term == 1 &&
+          World.Writes[Write].EndedAt > base::fromMicroseconds(101'500'000);
+  BOOST_TEST(Acknowledged == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/groups/tests/simulation/fake_instance.h
@@ -0,0 +1,115 @@
+#ifndef RADISHRELAY_GROUPS_TESTS_FAKE_INSTANCE_H
+#define RADISHRELAY_GROUPS_TESTS_FAKE_INSTANCE_H
+
+#include "sim_node.h"
+
+#include "radishrelay/groups/committed_write.h"
+#include "radishrelay/groups/instance_answer.h"
+
+#include <algorithm>
+
+namespace radishrelay::groups::testing {
+
+/// A part of a primary's log on its way to a replica.
+struct log_part {
+  term_number Term = 0;
+  std::vector<log_position> Starts;
+  log_offset LogEnd = 0;
+  log_offset From = 0;
+  std::vector<write_id> Writes;
+};
+
+/// An instance as section 4 of the design describes it; its log is durable.
+struct fake_instance : sim_node {
+  base::instance_id Id;
+  instance_role Role = instance_role::Replica;
+  term_number Term = 1;
+  term_number RaisedTerm = 1;
+  std::vector<log_position> Starts = {{1, 0}};
+  std::vector<write_id> Log;
+
+  [[nodiscard]] instance_status status() const {
+    return {Role, {Term, Log.size()}, RaisedTerm, Starts, {}};
+  }
+
+  instance_answer answer(const instance_call &Call, base::time_point AskedAt) {
+    instance_answer Answer = {Call, call_outcome::Done, {}, AskedAt};
+    if (Call.Kind == call_kind::Raise)
+      Answer.Outcome = raise(Call.Term);
+    if (Call.Kind == call_kind::Promote)
+      Answer.Outcome = promote(Call.Term);
+    if (Answer.Outcome == call_outcome::Done)
+      Answer.Status = status();
+    return Answer;
+  }
+
+  call_outcome raise(term_number NewTerm) {
+    if (NewTerm <= RaisedTerm)
+      return call_outcome::Refused;
+    RaisedTerm = NewTerm;
+    return call_outcome::Done;
+  }
+
+  call_outcome promote(term_number NewTerm) {
+    if (NewTerm != RaisedTerm || NewTerm == Term)
+      return call_outcome::Refused;
+    std::erase_if(Starts, [this](log_position Start) {
+      return Start.Offset > Log.size();
+    });
+    Role = instance_role::Primary;
+    Term = NewTerm;
+    Starts.push_back({Term, Log.size()});
+    return call_outcome::Done;
+  }
+
+  /// Commits in the own log, or rolls back when it is no primary.
+  std::optional<log_position> commit(write_id Write) {
+    if (Role != instance_role::Primary || RaisedTerm > Term)
+      return {};
+    Log.push_back(Write);
+    return log_position{Term, Log.size()};
+  }
+
+  /// At most \p Limit entries for a replica that holds \p From.
+  [[nodiscard]] log_part part(log_offset From, std::size_t Limit) const {
+    log_part Part = {Term, Starts, Log.size(), From, {}};
+    for (log_offset At = From; At < Log.size() && At < From + Limit; ++At)
+      Part.Writes.push_back(Log[At]);
+    return Part;
+  }
+
+  /// Appends; truncates first what a newer term does not have.
+  void follow(const log_part &Part) {
+    if (Part.Term < RaisedTerm || Part.Term < Term)
+      return;
+    if (Part.Term > Term) {
+      Log.resize(commonLength(Part));
+      Role = instance_role::Replica;
+      Term = RaisedTerm = Part.Term;
+      Starts = Part.Starts;
+    }
+    if (Role == instance_role::Primary || Part.From > Log.size())
+      return;
+    for (std::size_t At = Log.size() - Part.From; At < Part.Writes.size(); ++At)
+      Log.push_back(Part.Writes[At]);
+  }
+
+  /// Length up to which the log equals that of \p Part's primary.
+  [[nodiscard]] log_offset commonLength(const log_part &Part) const {
+    log_offset Common = 0;
+    for (std::size_t At = 0; At < Starts.size() && At < Part.Starts.size() &&
+                             Starts[At] == Part.Starts[At];
+         ++At) {
+      bool IsLast = At + 1 == Starts.size();
+      bool IsPartsLast = At + 1 == Part.Starts.size();
+      Common = std::min({IsLast ? Log.size() : Starts[At + 1].Offset,
+                         IsPartsLast ? Part.LogEnd : Part.Starts[At + 1].Offset,
+                         Log.size()});
+    }
+    return Common;
+  }
+};
+
+} // namespace radishrelay::groups::testing
+
+#endif
--- /dev/null
+++ b/packages/groups/tests/simulation/message_queue.h
@@ -0,0 +1,113 @@
+#ifndef RADISHRELAY_GROUPS_TESTS_MESSAGE_QUEUE_H
+#define RADISHRELAY_GROUPS_TESTS_MESSAGE_QUEUE_H
+
+#include "sim_node.h"
+
+#include "radishrelay/groups/stored_term_majority_strategy.h"
+
+#include "radishrelay/base/random_generator.h"
+
+#include <array>
+#include <functional>
+#include <queue>
+
+namespace radishrelay::groups::testing {
+
+/// Delays and losses of the message queue, and the load.
+struct simulation_options {
+  std::uint64_t Seed = 1;
+  std::shared_ptr<const acknowledgement_strategy> Strategy =
+      std::make_shared<stored_term_majority_strategy>();
+  base::duration LeastDelay = std::chrono::milliseconds(1);
+  base::duration LargestDelay = std::chrono::milliseconds(1);
+  base::duration ReplicationLag = std::chrono::milliseconds(5);
+  base::duration WriteInterval = std::chrono::milliseconds(10);
+  base::duration WriteTimeout = std::chrono::seconds(1);
+  double DropChance = 0;
+  double RepeatChance = 0;
+  /// Chance of a message that takes up to a second.
+  double SlowChance = 0;
+};
+
+/// The messages between all nodes, in virtual time.
+class message_queue {
+public:
+  static constexpr std::size_t Domains = 3;
+
+  explicit message_queue(const simulation_options &Options)
+      : Options(Options), Random(Options.Seed) {}
+
+  /// Runs one event of the queue.
+  void step() {
+    queued_event Event = Queue.top();
+    Queue.pop();
+    Now = Event.At;
+    Event.Run();
+  }
+
+  void runUntil(base::time_point End) {
+    while (Queue.top().At <= End)
+      step();
+  }
+
+  void after(base::duration Delay, std::function<void()> Run) {
+    Queue.push({Now + Delay, ++Order, std::move(Run)});
+  }
+
+  /// Cuts or restores the links of a failure domain to all others.
+  void isolate(std::size_t Domain, bool IsCutOff) {
+    for (std::size_t Other = 0; Other <= Domains; ++Other)
+      if (Other != Domain)
+        IsCut[Domain][Other] = IsCut[Other][Domain] = IsCutOff;
+  }
+
+  simulation_options Options;
+  base::random_generator Random;
+  base::time_point Now = base::fromMicroseconds(100'000'000);
+  /// Cut links by sender and receiver; the store comes after the domains.
+  std::array<std::array<bool, Domains + 1>, Domains + 1> IsCut{};
+
+protected:
+  /// Sends a message that may be dropped, delayed, repeated or reordered.
+  void post(const sim_node &From, sim_node &To,
+            const std::function<void()> &Run) {
+    if (IsCut[From.Domain][To.Domain] || Random.chance(Options.DropChance))
+      return;
+    base::duration Range = Options.LargestDelay - Options.LeastDelay;
+    if (Random.chance(Options.SlowChance))
+      Range = std::chrono::seconds(1);
+    auto Bound = static_cast<std::uint64_t>(Range.count()) + 1;
+    int Copies = Random.chance(Options.RepeatChance) ? 2 : 1;
+    for (int Copy = 0; Copy < Copies; ++Copy)
+      after(Options.LeastDelay + base::duration(Random.below(Bound)),
+            [this, &To, Run, I = To.Incarnation] { deliver(To, I, Run); });
+  }
+
+  void deliver(sim_node &To, std::uint64_t Incarnation,
+               const std::function<void()> &Run) {
+    if (!To.IsAlive || To.Incarnation != Incarnation)
+      return;
+    if (Now >= To.PausedUntil)
+      Run();
+    else
+      after(To.PausedUntil - Now,
+            [this, &To, Incarnation, Run] { deliver(To, Incarnation, Run); });
+  }
+
+private:
+  struct queued_event {
+    base::time_point At;
+    std::uint64_t Order;
+    std::function<void()> Run;
+    bool operator<(const queued_event &Other) const {
+      return std::tie(At, Order) > std::tie(Other.At, Other.Order);
+    }
+  };
+
+  std::priority_queue<queued_event> Queue;
+  std::uint64_t Order = 0;
+};
+
+} // namespace radishrelay::groups::testing
+
+#endif
--- /dev/null
+++ b/packages/groups/tests/simulation/sim_host.h
@@ -0,0 +1,24 @@
+#ifndef RADISHRELAY_GROUPS_TESTS_SIM_HOST_H
+#define RADISHRELAY_GROUPS_TESTS_SIM_HOST_H
+
+#include "sim_node.h"
+
+#include "radishrelay/groups/group_failover.h"
+#include "radishrelay/groups/term_lease_reader.h"
+#include "radishrelay/groups/write_attempt.h"
+#include "radishrelay/groups/write_tracker.h"
+
+namespace radishrelay::groups::testing {
+
+/// One host's decision logic.
+struct sim_host : sim_node {
+  base::time_point WakeAt = base::time_point::max();
+  std::optional<group_failover> Failover;
+  std::optional<write_tracker> Tracker;
+  std::optional<term_lease_reader> Leases;
+  std::map<write_id, write_attempt> Attempts;
+};
+
+} // namespace radishrelay::groups::testing
+
+#endif
