Add fleet-wide limits of client accounts

Tokens are integers of 10^-12 token; the level and the outstanding loans of a pool never exceed its burst share.

--- /dev/null
+++ b/packages/accounts/include/radishrelay/accounts/demand_meter.h
@@ -0,0 +1,48 @@
+#ifndef RADISHRELAY_ACCOUNTS_DEMAND_METER_H
+#define RADISHRELAY_ACCOUNTS_DEMAND_METER_H
+
+#include "radishrelay/accounts/token_amount.h"
+#include "radishrelay/base/monotonic_clock.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace radishrelay::accounts {
+
+/// Exponentially smoothed rate of the tokens asked for. It steers prefetching
+/// and the split of shares only; no limit rests on it.
+class demand_meter {
+public:
+  /// \p Period is the interval of one sample; \p Weight is the reciprocal of
+  /// the weight of the newest sample.
+  demand_meter(base::duration Period, std::int64_t Weight)
+      : Period(Period), Weight(Weight) {}
+
+  void add(token_amount Amount) { Sum += Amount; }
+
+  /// Closes the sample when its period has passed.
+  void advance(base::time_point Now) {
+    if (Now < StartedAt + Period)
+      return;
+    std::int64_t Elapsed = std::max<std::int64_t>(1, (Now - StartedAt).count());
+    token_amount Sample = Sum / Elapsed;
+    bool First = StartedAt == base::time_point();
+    Rate = First ? 0 : Rate + (Sample - Rate) / Weight;
+    Sum = 0;
+    StartedAt = Now;
+  }
+
+  /// Units per microsecond.
+  [[nodiscard]] token_amount rate() const { return Rate; }
+
+private:
+  base::duration Period;
+  std::int64_t Weight;
+  base::time_point StartedAt;
+  token_amount Sum = 0;
+  token_amount Rate = 0;
+};
+
+} // namespace radishrelay::accounts
+
+#endif
--- /dev/null
+++ b/packages/accounts/include/radishrelay/accounts/leased_shares.h
@@ -0,0 +1,113 @@
+#ifndef RADISHRELAY_ACCOUNTS_LEASED_SHARES_H
+#define RADISHRELAY_ACCOUNTS_LEASED_SHARES_H
+
+#include "radishrelay/accounts/host_identity.h"
+#include "radishrelay/accounts/limit_phases.h"
+#include "radishrelay/accounts/row_watch.h"
+#include "radishrelay/accounts/share_record.h"
+#include "radishrelay/accounts/share_wish.h"
+#include "radishrelay/base/store_answer.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace radishrelay::accounts {
+
+/// Leases this failure domain's shares of the accounts that the host owns.
+///
+/// Each cycle reads the slots, then the shares, then writes the rows of all
+/// its accounts in one transaction: one write request per owner host and
+/// second. A lease counts from before the slots were read, so that a slot
+/// claimed later is usable only after the lease has ended.
+///
+/// A write whose answer was lost may take effect at any time until the row's
+/// version has moved on. Until then the share in use is the smallest of all
+/// that the record may show.
+class leased_shares {
+public:
+  explicit leased_shares(host_identity Self) : Self(std::move(Self)) {}
+
+  /// The next store request, if one is due.
+  std::optional<base::store_request> poll(const std::vector<share_wish> &Wishes,
+                                          const limit_phases &Limits,
+                                          base::time_point Now);
+
+  /// The answer to the last request of poll.
+  void answer(const base::store_answer &Answer, base::time_point Now);
+
+  /// The share of the account that may be used at \p Now.
+  [[nodiscard]] millionths share(const base::account_id &Account,
+                                 base::time_point Now) const;
+
+  /// End of the account's lease.
+  [[nodiscard]] base::time_point
+  deadline(const base::account_id &Account) const;
+
+  /// True while any account has an unexpired lease.
+  [[nodiscard]] bool holdsAny(base::time_point Now) const;
+
+  [[nodiscard]] base::json dump() const;
+
+private:
+  struct lease {
+    std::uint64_t Sequence = 0;
+    millionths Share = 0;
+    base::time_point Deadline;
+  };
+  /// A write that may have taken effect.
+  struct attempt {
+    lease Lease;
+    base::row_version BaseVersion = 0;
+  };
+  struct account_state {
+    std::optional<lease> Held;
+    std::vector<attempt> Attempts;
+    /// Limit until the next cycle when a lower share could not be published.
+    millionths Ceiling = WholeInMillionths;
+    std::uint64_t LastSequence = 0;
+  };
+  enum class step { ReadingSlots, ReadingShares, Writing };
+
+  base::store_request startRead(step Step, const std::string &Table);
+  std::optional<base::store_request>
+  startWrite(const std::vector<share_wish> &Wishes, const limit_phases &Limits,
+             base::time_point Now);
+  void observe(const share_record &Record, base::time_point Now);
+  void resolve(account_state &State, const share_record &Record);
+  std::optional<share_entry> plan(const share_wish &Wish,
+                                  const share_record &Record,
+                                  const limit_phases &Limits,
+                                  base::time_point Now);
+  std::optional<share_entry> planHandOver(const share_wish &Wish,
+                                          account_state &State,
+                                          base::time_point Now);
+  [[nodiscard]] bool isLive(const share_record &Record,
+                            const base::failure_domain_id &Domain,
+                            const share_entry &Entry,
+                            base::time_point Now) const;
+  [[nodiscard]] millionths sumOfOthers(const share_record &Record,
+                                       base::time_point Now) const;
+  [[nodiscard]] millionths target(const share_wish &Wish,
+                                  const share_record &Record,
+                                  millionths Leasable,
+                                  base::time_point Now) const;
+  [[nodiscard]] bool isMine(const share_entry &Entry) const;
+  void writeDone();
+
+  host_identity Self;
+  row_watch Watch;
+  std::map<base::account_id, account_state> Accounts;
+  std::map<base::account_id, share_record> Records;
+  std::vector<std::int64_t> ClaimedSlots;
+  /// Accounts of the transaction in flight with their sequence numbers.
+  std::map<base::account_id, std::uint64_t> Written;
+  std::optional<step> InFlight;
+  step Next = step::ReadingSlots;
+  base::time_point CycleStartedAt;
+  base::time_point NextAt;
+};
+
+} // namespace radishrelay::accounts
+
+#endif
--- /dev/null
+++ b/packages/accounts/include/radishrelay/accounts/limiter_options.h
@@ -0,0 +1,36 @@
+#ifndef RADISHRELAY_ACCOUNTS_LIMITER_OPTIONS_H
+#define RADISHRELAY_ACCOUNTS_LIMITER_OPTIONS_H
+
+#include "radishrelay/base/monotonic_clock.h"
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+
+namespace radishrelay::accounts {
+
+/// From which hosts a host borrows tokens.
+enum class loan_scope {
+  /// Only the owner of its failure domain.
+  Owner,
+  /// The owner, then the hosts of its failure domain.
+  FailureDomain,
+  /// Also the owners and the hosts of the other failure domains.
+  Fleet,
+};
+
+/// Options of account_limiter.
+struct limiter_options {
+  loan_scope Scope = loan_scope::Fleet;
+  /// Longest wait of a request for borrowed tokens.
+  base::duration LongestWait = std::chrono::milliseconds(100);
+  /// Most requests of an account that wait on one host.
+  std::size_t MostWaiting = 1024;
+
+  friend auto operator<=>(const limiter_options &,
+                          const limiter_options &) = default;
+};
+
+} // namespace radishrelay::accounts
+
+#endif
--- /dev/null
+++ b/packages/accounts/include/radishrelay/accounts/owner_order.h
@@ -0,0 +1,60 @@
+#ifndef RADISHRELAY_ACCOUNTS_OWNER_ORDER_H
+#define RADISHRELAY_ACCOUNTS_OWNER_ORDER_H
+
+#include "radishrelay/accounts/host_identity.h"
+#include "radishrelay/accounts/limiter_options.h"
+#include "radishrelay/base/monotonic_clock.h"
+
+#include <compare>
+#include <map>
+#include <vector>
+
+namespace radishrelay::accounts {
+
+/// A live host as the membership shows it.
+struct live_host {
+  base::host_id Host;
+  base::failure_domain_id FailureDomain;
+
+  friend auto operator<=>(const live_host &, const live_host &) = default;
+};
+
+/// Chooses the owner of each account in each failure domain, and the order in
+/// which a host asks others for tokens.
+///
+/// A host counts as an owner only once it has been live for OwnerSeasoning:
+/// until then a restarted host may not use shares, and its predecessor goes
+/// on. Where no host is seasoned, all count.
+class owner_order {
+public:
+  explicit owner_order(host_identity Self) : Self(std::move(Self)) {}
+
+  void setLive(std::vector<live_host> Hosts, base::time_point Now);
+
+  /// The owner of \p Account in \p Domain; empty when no host is live.
+  [[nodiscard]] base::host_id owner(const base::account_id &Account,
+                                    const base::failure_domain_id &Domain,
+                                    base::time_point Now) const;
+
+  /// The hosts to borrow from, without this host.
+  [[nodiscard]] std::vector<base::host_id>
+  lenders(const base::account_id &Account, loan_scope Scope,
+          base::time_point Now) const;
+
+  /// True for a live host of this host's failure domain.
+  [[nodiscard]] bool isNeighbour(const base::host_id &Host) const;
+
+private:
+  void append(std::vector<base::host_id> &Order,
+              const base::host_id &Host) const;
+  [[nodiscard]] std::vector<base::host_id>
+  hostsOf(const base::account_id &Account, bool Neighbours) const;
+
+  host_identity Self;
+  std::vector<live_host> Live;
+  std::map<base::host_id, base::time_point> LiveSince;
+};
+
+} // namespace radishrelay::accounts
+
+#endif
--- /dev/null
+++ b/packages/accounts/include/radishrelay/accounts/row_watch.h
@@ -0,0 +1,46 @@
+#ifndef RADISHRELAY_ACCOUNTS_ROW_WATCH_H
+#define RADISHRELAY_ACCOUNTS_ROW_WATCH_H
+
+#include "radishrelay/base/monotonic_clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace radishrelay::accounts {
+
+/// Judges the leases of other hosts by one's own clock: a lease is expired
+/// when its record has shown the same incarnation and sequence number for a
+/// given time.
+class row_watch {
+public:
+  /// Notes what a row read at \p Now shows.
+  void observe(const std::string &Name, std::uint64_t Incarnation,
+               std::uint64_t Sequence, base::time_point Now) {
+    auto [Entry, Inserted] =
+        Seen.try_emplace(Name, sighting{Incarnation, Sequence, Now});
+    sighting &Known = Entry->second;
+    if (Known.Incarnation != Incarnation || Known.Sequence != Sequence)
+      Known = {Incarnation, Sequence, Now};
+  }
+
+  /// True when the row last observed under \p Name has not changed for
+  /// \p Lease.
+  [[nodiscard]] bool expired(const std::string &Name, base::duration Lease,
+                             base::time_point Now) const {
+    auto Found = Seen.find(Name);
+    return Found != Seen.end() && Now >= Found->second.Since + Lease;
+  }
+
+private:
+  struct sighting {
+    std::uint64_t Incarnation;
+    std::uint64_t Sequence;
+    base::time_point Since;
+  };
+  std::map<std::string, sighting> Seen;
+};
+
+} // namespace radishrelay::accounts
+
+#endif
--- /dev/null
+++ b/packages/accounts/include/radishrelay/accounts/token_share.h
@@ -0,0 +1,29 @@
+#ifndef RADISHRELAY_ACCOUNTS_TOKEN_SHARE_H
+#define RADISHRELAY_ACCOUNTS_TOKEN_SHARE_H
+
+#include "radishrelay/accounts/account_limits.h"
+#include "radishrelay/accounts/token_amount.h"
+
+#include <compare>
+
+namespace radishrelay::accounts {
+
+/// A part of an account's rate and burst.
+struct token_share {
+  /// Units per microsecond.
+  token_amount Rate = 0;
+  /// Units.
+  token_amount Burst = 0;
+
+  friend auto operator<=>(const token_share &, const token_share &) = default;
+};
+
+/// Returns \p Part of \p Limits; exact.
+constexpr token_share shareOf(const account_limits &Limits, millionths Part) {
+  constexpr token_amount UnitsPerMillionth = OneToken / WholeInMillionths;
+  return {Limits.RatePerSecond * Part, Limits.Burst * Part * UnitsPerMillionth};
+}
+
+} // namespace radishrelay::accounts
+
+#endif
--- /dev/null
+++ b/packages/accounts/src/account_limiter.cpp
@@ -0,0 +1,277 @@
+#include "radishrelay/accounts/account_limiter.h"
+
+#include "radishrelay/accounts/limits_timing.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace radishrelay::accounts {
+
+namespace {
+
+/// A loan request without an answer counts as lost after this.
+constexpr base::duration LoanTimeout = std::chrono::milliseconds(30);
+/// Loans go back this long before they end, so that their rest is not lost.
+constexpr base::duration ReturnBefore = std::chrono::milliseconds(200);
+constexpr std::size_t MostLate = 8;
+constexpr base::duration OwnerUpdate = std::chrono::seconds(1);
+constexpr base::duration ShortestRetry = std::chrono::milliseconds(50);
+constexpr base::duration LongestRetry = std::chrono::seconds(60);
+
+base::time_point validUntil(base::time_point Deadline, base::time_point Now) {
+  return std::min(Deadline, Now + timing::StaleClock);
+}
+
+} // namespace
+
+account_limiter::account_limiter(const host_identity &Self,
+                                 limiter_options Options)
+    : Self(Self), Options(Options), Slots(Self), Shares(Self), Owners(Self) {}
+
+limiter_actions account_limiter::configure(limits_configuration Configuration,
+                                           base::time_point Now) {
+  if (Phases.adopt(std::move(Configuration), Now))
+    updateAccounts(Now);
+  return takeActions();
+}
+
+limiter_actions account_limiter::setLive(std::vector<live_host> Hosts,
+                                         base::time_point Now) {
+  Owners.setLive(std::move(Hosts), Now);
+  updateOwners(Now);
+  return takeActions();
+}
+
+void account_limiter::updateAccounts(base::time_point Now) {
+  for (const account_limits &Limits : Phases.newest().Accounts)
+    Accounts[Limits.Account].Limits.Account = Limits.Account;
+  for (auto &[Account, State] : Accounts) {
+    auto Limits = Phases.limitsOf(Account);
+    State.Removed = !Limits.has_value();
+    State.Limits = Limits.value_or(account_limits{Account, 0, 0});
+    if (State.Removed)
+      endAccount(State, Now);
+  }
+  std::erase_if(Accounts, [](const auto &Entry) {
+    return Entry.second.Removed && !Entry.second.Tokens.lends();
+  });
+  updateOwners(Now);
+}
+
+void account_limiter::endAccount(account_state &State, base::time_point Now) {
+  for (const waiting_request &Request : State.Waiting)
+    decide(Request.Request, State,
+           refused{refusal_reason::AccountUnknown, Now + LongestRetry});
+  State.Waiting.clear();
+  giveBack(State, base::time_point::max(), Now);
+}
+
+void account_limiter::updateOwners(base::time_point Now) {
+  OwnersUpdatedAt = Now;
+  for (auto &[Account, State] : Accounts) {
+    State.Owner = Owners.owner(Account, Self.FailureDomain, Now);
+    State.Lenders.setHosts(Owners.lenders(Account, Options.Scope, Now));
+  }
+}
+
+account_limiter::account_state *
+account_limiter::find(const base::account_id &Account) {
+  auto Found = Accounts.find(Account);
+  return Found == Accounts.end() ? nullptr : &Found->second;
+}
+
+void account_limiter::advance(account_state &State, base::time_point Now) {
+  pool_lease Floor;
+  if (Settled && Slots.floorUsable(Now))
+    Floor = {shareOf(State.Limits, Phases.floorOfSlot()), Slots.deadline()};
+  const base::account_id &Account = State.Limits.Account;
+  pool_lease Leased{shareOf(State.Limits, Shares.share(Account, Now)),
+                    Shares.deadline(Account)};
+  State.Tokens.advance(Floor, Leased, Now);
+}
+
+limiter_actions account_limiter::admit(request_number Request,
+                                       const base::account_id &Account,
+                                       base::time_point WaitUntil,
+                                       base::time_point Now) {
+  account_state *State = find(Account);
+  if (!State || State->Removed) {
+    account_state Unknown;
+    Unknown.Limits.Account = Account;
+    decide(Request, Unknown,
+           refused{refusal_reason::AccountUnknown, Now + LongestRetry});
+    return takeActions();
+  }
+  advance(*State, Now);
+  State->Tokens.LocalDemand.add(OneToken);
+  State->Tokens.DomainDemand.add(OneToken);
+  bool First = State->Waiting.empty();
+  if (First && tryAdmit(Request, *State, Now)) {
+    borrow(*State, Now);
+    return takeActions();
+  }
+  base::time_point Until = std::min(WaitUntil, Now + Options.LongestWait);
+  bool Waits = Until > Now && State->Waiting.size() < Options.MostWaiting &&
+               mayGetTokens(*State, Until);
+  if (!Waits) {
+    decide(Request, *State, refusal(*State, Now));
+    return takeActions();
+  }
+  State->Waiting.push_back({Request, Until});
+  decide(Request, *State, waiting{Until});
+  borrow(*State, Now);
+  return takeActions();
+}
+
+bool account_limiter::tryAdmit(request_number Request, account_state &State,
+                               base::time_point Now) {
+  auto Deadline = State.Tokens.takeOne(Now);
+  if (!Deadline)
+    return false;
+  decide(Request, State, admitted{validUntil(*Deadline, Now)});
+  return true;
+}
+
+bool account_limiter::mayGetTokens(const account_state &State,
+                                   base::time_point Until) const {
+  return State.Sent || State.Lenders.nextChoiceAt() < Until;
+}
+
+refused account_limiter::refusal(const account_state &State,
+                                 base::time_point Now) const {
+  std::int64_t Rate = std::max<std::int64_t>(1, State.Limits.RatePerSecond);
+  base::duration PerToken = std::chrono::microseconds(1'000'000 / Rate);
+  base::duration Wait = std::clamp(PerToken, ShortestRetry, LongestRetry);
+  return {refusal_reason::RateExceeded, Now + Wait};
+}
+
+void account_limiter::serveWaiting(account_state &State, base::time_point Now) {
+  while (!State.Waiting.empty()) {
+    waiting_request Request = State.Waiting.front();
+    bool Served = Request.Until > Now && tryAdmit(Request.Request, State, Now);
+    bool Waits =
+        !Served && Request.Until > Now && mayGetTokens(State, Request.Until);
+    if (Waits)
+      return;
+    if (!Served)
+      decide(Request.Request, State, refusal(State, Now));
+    State.Waiting.pop_front();
+  }
+}
+
+void account_limiter::decide(request_number Request, const account_state &State,
+                             admission Admission) {
+  Actions.push_back(request_decided{Request, State.Limits.Account, Admission});
+}
+
+limiter_actions account_limiter::tick(base::time_point Now) {
+  Phases.advance(Now);
+  Settled = Phases.settled(Now);
+  if (Phases.hasAny() && Now >= OwnersUpdatedAt + OwnerUpdate) {
+    // Seasoning and ended phases change owners and limits.
+    updateAccounts(Now);
+  }
+  for (auto &[Account, State] : Accounts)
+    tickAccount(State, Now);
+  finishDrain(Now);
+  pollStore(Now);
+  return takeActions();
+}
+
+void account_limiter::tickAccount(account_state &State, base::time_point Now) {
+  advance(State, Now);
+  if (State.Sent && Now >= State.Sent->SentAt + LoanTimeout) {
+    State.Lenders.silent(State.Sent->Lender, Now);
+    State.Late.push_back(*std::exchange(State.Sent, std::nullopt));
+    if (State.Late.size() > MostLate)
+      State.Late.pop_front();
+  }
+  serveWaiting(State, Now);
+  borrow(State, Now);
+  giveBack(State, Now + ReturnBefore, Now);
+}
+
+limiter_actions account_limiter::storeAnswered(store_user User,
+                                               const base::store_answer &Answer,
+                                               base::time_point Now) {
+  if (User == store_user::HostSlots)
+    Slots.answer(Answer, Now);
+  else
+    Shares.answer(Answer, Now);
+  pollStore(Now);
+  return takeActions();
+}
+
+void account_limiter::pollStore(base::time_point Now) {
+  if (auto Request = Slots.poll(Phases.slotCount(), Now))
+    Actions.push_back(ask_store{store_user::HostSlots, *std::move(Request)});
+  if (!Settled)
+    return;
+  if (auto Request = Shares.poll(wishes(), Phases, Now))
+    Actions.push_back(ask_store{store_user::LeasedShares, *std::move(Request)});
+  // Writing a lower share lowers the pool at once.
+  for (auto &[Account, State] : Accounts)
+    advance(State, Now);
+}
+
+std::vector<share_wish> account_limiter::wishes() const {
+  std::vector<share_wish> Wishes;
+  for (const auto &[Account, State] : Accounts) {
+    bool Owner = !Draining && !State.Removed && State.Owner == Self.Host;
+    // Units per microsecond are millionths of a token per second.
+    std::int64_t Demand = State.Tokens.DomainDemand.rate() / WholeInMillionths;
+    millionths Lent = State.Tokens.leasedPartLent(State.Limits.Burst);
+    Wishes.push_back({Account, Owner, Demand, Lent});
+  }
+  return Wishes;
+}
+
+limiter_actions account_limiter::takeActions() {
+  return std::exchange(Actions, {});
+}
+
+bool account_limiter::holdsSlot(base::time_point Now) const {
+  return Slots.holds(Now);
+}
+
+limiter_actions account_limiter::drain(base::time_point Now) {
+  Draining = true;
+  for (auto &[Account, State] : Accounts)
+    giveBack(State, base::time_point::max(), Now);
+  return takeActions();
+}
+
+void account_limiter::finishDrain(base::time_point Now) {
+  // The slot goes last: its removal enlarges the leased shares of others,
+  // which must not coexist with loans of this floor share.
+  if (Draining && !lendsAny() && !Slots.released())
+    Slots.release(Now);
+}
+
+bool account_limiter::lendsAny() const {
+  return std::any_of(Accounts.begin(), Accounts.end(), [](const auto &Entry) {
+    return Entry.second.Tokens.lends();
+  });
+}
+
+bool account_limiter::drained(base::time_point Now) const {
+  return Draining && !lendsAny() && !Shares.holdsAny(Now) && Slots.released();
+}
+
+base::json account_limiter::dump() const {
+  base::json Dump = {{"draining", Draining}, {"settled", Settled}};
+  Dump["configurations"] = Phases.dump();
+  Dump["slot"] = Slots.dump();
+  Dump["shares"] = Shares.dump();
+  Dump["accounts"] = base::json::object();
+  for (const auto &[Account, State] : Accounts) {
+    base::json Entry = State.Tokens.dump();
+    Entry["owner"] = State.Owner.str();
+    Entry["waiting"] = State.Waiting.size();
+    Dump["accounts"][Account.str()] = std::move(Entry);
+  }
+  return Dump;
+}
+
+} // namespace radishrelay::accounts
--- /dev/null
+++ b/packages/accounts/src/account_tokens.cpp
@@ -0,0 +1,120 @@
+#include "radishrelay/accounts/account_tokens.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace radishrelay::accounts {
+
+namespace {
+
+/// Borrowed ahead: covers a few round trips between failure domains.
+constexpr base::duration PrefetchTime = std::chrono::milliseconds(50);
+/// Kept back from lending for requests of this host.
+constexpr base::duration ReserveTime = std::chrono::milliseconds(50);
+/// Smaller loans are not worth a message.
+constexpr token_amount SmallestLoan = OneToken / 100;
+
+void advancePool(lending_pool &Pool, const pool_lease &Lease,
+                 base::time_point Now) {
+  if (Pool.deadline() <= Now)
+    Pool.setShare({}, Now);
+  bool Runs = Now < Lease.Deadline;
+  Pool.setShare(Runs ? Lease.Share : token_share(), Now);
+  Pool.setDeadline(Lease.Deadline);
+}
+
+} // namespace
+
+void account_tokens::advance(const pool_lease &FloorLease,
+                             const pool_lease &LeasedLease,
+                             base::time_point Now) {
+  advancePool(Floor, FloorLease, Now);
+  advancePool(Leased, LeasedLease, Now);
+  LocalDemand.advance(Now);
+  DomainDemand.advance(Now);
+}
+
+token_amount account_tokens::available(base::time_point Now) const {
+  return Borrowed.available(Now) + Floor.available(Now) + Leased.available(Now);
+}
+
+std::optional<base::time_point> account_tokens::takeOne(base::time_point Now) {
+  if (available(Now) < OneToken)
+    return std::nullopt;
+  base::time_point ValidUntil = base::time_point::max();
+  // Borrowed tokens expire first; the floor share is the cheapest to refill.
+  token_amount Needed = OneToken - Borrowed.take(OneToken, Now, ValidUntil);
+  for (lending_pool *Pool : {&Floor, &Leased}) {
+    token_amount Part = std::min(Needed, Pool->available(Now));
+    if (Part <= 0)
+      continue;
+    Pool->take(Part);
+    Needed -= Part;
+    ValidUntil = std::min(ValidUntil, Pool->deadline());
+  }
+  return ValidUntil;
+}
+
+token_amount account_tokens::reserve() const {
+  return LocalDemand.rate() * ReserveTime.count();
+}
+
+void account_tokens::lend(token_amount Wanted, bool LendsLeased,
+                          loan_number Number, base::time_point Now,
+                          loan_grant &Grant) {
+  token_amount FromLeased = LendsLeased ? Leased.available(Now) : 0;
+  token_amount FromFloor = Floor.available(Now);
+  // What this host uses itself comes from the floor share first.
+  token_amount Kept = std::min(reserve(), FromFloor);
+  FromFloor -= Kept;
+  FromLeased -= std::min(reserve() - Kept, FromLeased);
+  lending_pool &Pool = FromLeased >= FromFloor ? Leased : Floor;
+  token_amount Amount = std::min(Wanted, std::max(FromLeased, FromFloor));
+  base::duration Validity = Pool.validity(Now);
+  if (Amount < std::min(Wanted, SmallestLoan) || Amount <= 0 ||
+      Validity <= base::duration::zero())
+    return;
+  if (!Pool.lend(Number, Amount, Validity, Now))
+    return;
+  Grant.Loan = Number;
+  Grant.Amount = Amount;
+  Grant.Validity = Validity;
+}
+
+void account_tokens::settle(loan_number Number, token_amount Spent) {
+  Floor.settle(Number, Spent);
+  Leased.settle(Number, Spent);
+}
+
+bool account_tokens::lends() const { return Floor.lends() || Leased.lends(); }
+
+millionths account_tokens::leasedPartLent(std::int64_t Burst) const {
+  token_amount PerMillionth = Burst * (OneToken / WholeInMillionths);
+  token_amount Lent = Leased.outstanding();
+  if (Lent <= 0)
+    return 0;
+  if (PerMillionth <= 0)
+    return WholeInMillionths;
+  return (Lent + PerMillionth - 1) / PerMillionth;
+}
+
+token_amount account_tokens::shortage(std::int64_t Waiting,
+                                      base::time_point Now) const {
+  token_amount Ahead = LocalDemand.rate() * PrefetchTime.count();
+  if (Ahead < OneToken)
+    Ahead = 0;
+  token_amount Needed = Waiting * OneToken;
+  token_amount AtHand = available(Now);
+  // Asks again at half of the target, so that loans are not many and small.
+  bool Enough = AtHand >= Needed + Ahead / 2;
+  return Enough ? 0 : Needed + Ahead - AtHand;
+}
+
+base::json account_tokens::dump() const {
+  return {{"floor", Floor.dump()},
+          {"leased", Leased.dump()},
+          {"local_demand", LocalDemand.rate()},
+          {"domain_demand", DomainDemand.rate()}};
+}
+
+} // namespace radishrelay::accounts
--- /dev/null
+++ b/packages/accounts/src/leased_shares.cpp
@@ -0,0 +1,269 @@
+#include "radishrelay/accounts/leased_shares.h"
+
+#include "radishrelay/accounts/limits_timing.h"
+#include "radishrelay/accounts/slot_record.h"
+
+#include <algorithm>
+
+namespace radishrelay::accounts {
+
+namespace {
+
+constexpr base::duration ExpiredAfter =
+    timing::ShareLease + timing::ShareMargin;
+
+std::string watchName(const share_record &Record,
+                      const base::failure_domain_id &Domain) {
+  return Record.Account.str() + "/" + Domain.str();
+}
+
+} // namespace
+
+std::optional<base::store_request>
+leased_shares::poll(const std::vector<share_wish> &Wishes,
+                    const limit_phases &Limits, base::time_point Now) {
+  if (InFlight || Now < NextAt)
+    return std::nullopt;
+  switch (Next) {
+  case step::ReadingSlots: {
+    bool Wanted =
+        std::any_of(Wishes.begin(), Wishes.end(),
+                    [](const share_wish &Wish) { return Wish.Owner; });
+    if (!Wanted && !holdsAny(Now))
+      return std::nullopt;
+    CycleStartedAt = Now;
+    return startRead(step::ReadingSlots, SlotsTable);
+  }
+  case step::ReadingShares:
+    return startRead(step::ReadingShares, SharesTable);
+  case step::Writing:
+    return startWrite(Wishes, Limits, Now);
+  }
+  return std::nullopt;
+}
+
+base::store_request leased_shares::startRead(step Step,
+                                             const std::string &Table) {
+  InFlight = Step;
+  return base::read_table{Table};
+}
+
+std::optional<base::store_request>
+leased_shares::startWrite(const std::vector<share_wish> &Wishes,
+                          const limit_phases &Limits, base::time_point Now) {
+  Next = step::ReadingSlots;
+  NextAt = CycleStartedAt + timing::ShareRenewal;
+  base::store_transaction Transaction;
+  Written.clear();
+  for (const share_wish &Wish : Wishes) {
+    share_record Record{Wish.Account, 0, {}};
+    if (auto Found = Records.find(Wish.Account); Found != Records.end())
+      Record = Found->second;
+    auto Entry = plan(Wish, Record, Limits, Now);
+    if (!Entry)
+      continue;
+    Record.Domains[Self.FailureDomain] = *Entry;
+    base::row_key Key = shareKey(Wish.Account);
+    Transaction.Conditions.push_back({Key, Record.Version});
+    Transaction.Writes.push_back({Key, formatShare(Record)});
+    lease Lease{Entry->Sequence, Entry->Share,
+                CycleStartedAt + timing::ShareLease};
+    if (Entry->Owner.empty())
+      Lease.Deadline = CycleStartedAt;
+    Accounts[Wish.Account].Attempts.push_back({Lease, Record.Version});
+    Written[Wish.Account] = Entry->Sequence;
+  }
+  if (Written.empty())
+    return std::nullopt;
+  InFlight = step::Writing;
+  return Transaction;
+}
+
+void leased_shares::answer(const base::store_answer &Answer,
+                           base::time_point Now) {
+  if (!InFlight)
+    return;
+  step Step = *InFlight;
+  InFlight.reset();
+  if (Answer.Outcome != base::store_outcome::Done) {
+    // What a write did is found out by the next read.
+    Next = step::ReadingSlots;
+    NextAt = Now + timing::ShareRetry;
+    return;
+  }
+  if (Step == step::Writing)
+    return writeDone();
+  if (Step == step::ReadingSlots) {
+    ClaimedSlots.clear();
+    for (const slot_record &Slot : parseSlots(Answer.Rows))
+      ClaimedSlots.push_back(Slot.Slot);
+    Next = step::ReadingShares;
+    return;
+  }
+  Records.clear();
+  for (const base::table_row &Row : Answer.Rows)
+    observe(parseShare(Row), Now);
+  Next = step::Writing;
+}
+
+void leased_shares::observe(const share_record &Record, base::time_point Now) {
+  for (const auto &[Domain, Entry] : Record.Domains)
+    Watch.observe(watchName(Record, Domain), Entry.Incarnation, Entry.Sequence,
+                  Now);
+  Records[Record.Account] = Record;
+}
+
+void leased_shares::writeDone() {
+  for (const auto &[Account, Sequence] : Written) {
+    account_state &State = Accounts[Account];
+    for (const attempt &Attempt : State.Attempts)
+      if (Attempt.Lease.Sequence == Sequence)
+        State.Held = Attempt.Lease;
+    // All attempts had this row version or an earlier one as condition.
+    State.Attempts.clear();
+  }
+}
+
+void leased_shares::resolve(account_state &State, const share_record &Record) {
+  auto Found = Record.Domains.find(Self.FailureDomain);
+  bool Mine = Found != Record.Domains.end() && isMine(Found->second);
+  if (!Mine)
+    State.Held.reset();
+  for (const attempt &Attempt : State.Attempts)
+    if (Mine && Attempt.Lease.Sequence == Found->second.Sequence)
+      State.Held = Attempt.Lease;
+  std::erase_if(State.Attempts, [&](const attempt &Attempt) {
+    return Attempt.BaseVersion < Record.Version;
+  });
+  State.Ceiling = WholeInMillionths;
+}
+
+std::optional<share_entry> leased_shares::plan(const share_wish &Wish,
+                                               const share_record &Record,
+                                               const limit_phases &Limits,
+                                               base::time_point Now) {
+  account_state &State = Accounts[Wish.Account];
+  resolve(State, Record);
+  if (State.Held && State.Held->Deadline <= Now)
+    State.Held.reset();
+  if (!Wish.Owner)
+    return planHandOver(Wish, State, Now);
+  auto Found = Record.Domains.find(Self.FailureDomain);
+  if (Found != Record.Domains.end() && !isMine(Found->second) &&
+      isLive(Record, Self.FailureDomain, Found->second, Now))
+    return std::nullopt;
+
+  millionths Leasable = Limits.leasable(ClaimedSlots);
+  millionths Room =
+      std::max<millionths>(0, Leasable - sumOfOthers(Record, Now));
+  millionths Current = State.Held ? State.Held->Share : 0;
+  millionths Wanted = target(Wish, Record, Leasable, Now);
+  // Small changes are not worth the disturbance of the other domains.
+  if (std::abs(Wanted - Current) < Leasable / 100)
+    Wanted = Current;
+  if (Wanted < Current)
+    Wanted = std::max(Wanted, Wish.Lent);
+  millionths Share = std::min(Wanted, Room);
+  if (State.Held && Share < Wish.Lent) {
+    // Lent tokens cannot be called back. Lends no more, and lowers the share
+    // once they are settled, well before the lease ends.
+    State.Ceiling = Share;
+    return std::nullopt;
+  }
+  return share_entry{Self.Host, Self.Incarnation, ++State.LastSequence, Share,
+                     Wish.Demand};
+}
+
+std::optional<share_entry> leased_shares::planHandOver(const share_wish &Wish,
+                                                       account_state &State,
+                                                       base::time_point Now) {
+  bool Holds = State.Held && Now < State.Held->Deadline;
+  if (!Holds || Wish.Lent > 0)
+    return std::nullopt;
+  // An entry without owner is free at once for the next one.
+  return share_entry{base::host_id(), Self.Incarnation, ++State.LastSequence, 0,
+                     0};
+}
+
+bool leased_shares::isMine(const share_entry &Entry) const {
+  return Entry.Owner == Self.Host && Entry.Incarnation == Self.Incarnation;
+}
+
+bool leased_shares::isLive(const share_record &Record,
+                           const base::failure_domain_id &Domain,
+                           const share_entry &Entry,
+                           base::time_point Now) const {
+  return !Entry.Owner.empty() &&
+         !Watch.expired(watchName(Record, Domain), ExpiredAfter, Now);
+}
+
+millionths leased_shares::sumOfOthers(const share_record &Record,
+                                      base::time_point Now) const {
+  millionths Sum = 0;
+  for (const auto &[Domain, Entry] : Record.Domains)
+    if (Domain != Self.FailureDomain && isLive(Record, Domain, Entry, Now))
+      Sum += Entry.Share;
+  return Sum;
+}
+
+millionths leased_shares::target(const share_wish &Wish,
+                                 const share_record &Record,
+                                 millionths Leasable,
+                                 base::time_point Now) const {
+  std::int64_t Domains = 1;
+  std::int64_t Demand = Wish.Demand;
+  for (const auto &[Domain, Entry] : Record.Domains)
+    if (Domain != Self.FailureDomain && isLive(Record, Domain, Entry, Now)) {
+      ++Domains;
+      Demand += Entry.Demand;
+    }
+  if (Demand <= 0)
+    return Leasable / Domains;
+  // A tenth is split equally, so that a domain whose demand begins has tokens
+  // before the split has followed.
+  millionths Equal = Leasable / 10;
+  millionths ByDemand = Leasable - Equal;
+  return Equal / Domains + ByDemand * Wish.Demand / Demand;
+}
+
+millionths leased_shares::share(const base::account_id &Account,
+                                base::time_point Now) const {
+  auto Found = Accounts.find(Account);
+  if (Found == Accounts.end())
+    return 0;
+  const account_state &State = Found->second;
+  if (!State.Held || Now >= State.Held->Deadline)
+    return 0;
+  millionths Share = std::min(State.Held->Share, State.Ceiling);
+  for (const attempt &Attempt : State.Attempts)
+    Share = std::min(Share, Attempt.Lease.Share);
+  return Share;
+}
+
+base::time_point
+leased_shares::deadline(const base::account_id &Account) const {
+  auto Found = Accounts.find(Account);
+  if (Found == Accounts.end() || !Found->second.Held)
+    return {};
+  return Found->second.Held->Deadline;
+}
+
+bool leased_shares::holdsAny(base::time_point Now) const {
+  return std::any_of(Accounts.begin(), Accounts.end(), [&](const auto &Entry) {
+    return Entry.second.Held && Now < Entry.second.Held->Deadline;
+  });
+}
+
+base::json leased_shares::dump() const {
+  base::json Dump = base::json::object();
+  for (const auto &[Account, State] : Accounts)
+    if (State.Held)
+      Dump[Account.str()] = {
+          {"share_ppm", State.Held->Share},
+          {"sequence", State.Held->Sequence},
+          {"deadline_us", base::toMicroseconds(State.Held->Deadline)},
+          {"unresolved_writes", State.Attempts.size()}};
+  return Dump;
+}
+
+} // namespace radishrelay::accounts
--- /dev/null
+++ b/packages/accounts/tests/limits_property_test.cpp
@@ -0,0 +1,130 @@
+// Random faults against the oracle. Environment variables:
+//   RADISHRELAY_LIMITS_SEEDS  number of seeds to run (default 8)
+//   RADISHRELAY_LIMITS_FIRST  first seed (default 1)
+// A failing seed is printed; run it alone with
+//   RADISHRELAY_LIMITS_FIRST=SEED RADISHRELAY_LIMITS_SEEDS=1
+//       build/packages/accounts/radishrelay_accounts_tests
+//       --run_test=fleet_under_faults
+#include "support/checked_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+namespace {
+
+using namespace radishrelay;
+using namespace radishrelay::accounts;
+using namespace radishrelay::accounts::fakes;
+using namespace std::chrono_literals;
+
+std::uint64_t fromEnvironment(const char *Name, std::uint64_t Default) {
+  // The test program has one thread.
+  // NOLINTNEXTLINE(concurrency-mt-unsafe)
+  const char *Text = std::getenv(Name);
+  return Text ? std::strtoull(Text, nullptr, 10) : Default;
+}
+
+constexpr base::duration FaultInterval = 400ms;
+constexpr auto RunTime = 60s;
+
+class random_run {
+public:
+  explicit random_run(std::uint64_t Seed) : Checked(Seed) {
+    fake_fleet &Fleet = Checked.Fleet;
+    Fleet.Configuration = {1, 6, 300'000, {}};
+    Checked.addAccount("large", 50, 80);
+    Checked.addAccount("small", 4, 3);
+    for (auto [Name, Domain] :
+         {std::pair("h1", "boston"), std::pair("h2", "boston"),
+          std::pair("h3", "hartford"), std::pair("h4", "hartford"),
+          std::pair("h5", "portland")}) {
+      fake_fleet::host &Host = Fleet.addHost(Name, Domain);
+      Host.ClockOffset = base::duration(Fleet.Random.below(1'000'000'000'000));
+      Host.ClockSlow = static_cast<std::int64_t>(Fleet.Random.below(500));
+      Fleet.start(Host);
+    }
+  }
+
+  std::string run() {
+    fake_fleet &Fleet = Checked.Fleet;
+    base::time_point End = Fleet.Queue.now() + RunTime;
+    for (auto &[Id, Host] : Fleet.Hosts) {
+      Checked.load(Host, "large", 60, End);
+      Checked.load(Host, "small", 5, End);
+    }
+    Fleet.advance(15s);
+    Fleet.Faults = {0.05, 0.05, 0.05, 0.03, 0.05, 0.0002};
+    while (Fleet.Queue.now() < End && Checked.Violation.empty()) {
+      fault();
+      Fleet.advance(FaultInterval);
+    }
+    return Checked.Violation;
+  }
+
+  [[nodiscard]] std::int64_t admitted() const {
+    return Checked.admittedOf("large");
+  }
+
+private:
+  fake_fleet::host &anyHost() {
+    auto Host = Checked.Fleet.Hosts.begin();
+    std::advance(Host, Checked.Fleet.Random.below(Checked.Fleet.Hosts.size()));
+    return Host->second;
+  }
+
+  void fault() {
+    fake_fleet &Fleet = Checked.Fleet;
+    fake_fleet::host &Host = anyHost();
+    switch (Fleet.Random.below(20)) {
+    case 0:
+      Fleet.crash(Host);
+      return Fleet.announce();
+    case 1:
+    case 2:
+      return Host.Limiter ? void() : Fleet.start(Host);
+    case 3:
+      Host.PausedUntil =
+          Fleet.Queue.now() + base::duration(Fleet.Random.below(8'000'000));
+      return;
+    case 4:
+      Fleet.Partitioned.insert(Host.Identity.FailureDomain);
+      return;
+    case 5:
+    case 6:
+      return Fleet.Partitioned.clear();
+    case 7:
+      Fleet.StoreDown = Fleet.Random.chance(0.3);
+      return;
+    case 8:
+      // Two hosts with different lists of live hosts.
+      return Fleet.tellLive(
+          Host, {{Host.Identity.Host, Host.Identity.FailureDomain}});
+    default:
+      return Fleet.announce();
+    }
+  }
+
+  checked_fleet Checked;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet_under_faults)
+
+// Guards against any admission above rate and burst, and against tokens that
+// exist twice, under arbitrary sequences of faults (P7).
+BOOST_AUTO_TEST_CASE(never_exceeds_rate_and_burst) {
+  std::uint64_t First = fromEnvironment("RADISHRELAY_LIMITS_FIRST", 1);
+  std::uint64_t Count = fromEnvironment("RADISHRELAY_LIMITS_SEEDS", 8);
+  for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
+    random_run Run(Seed);
+    std::string Violation = Run.run();
+    BOOST_TEST(Violation.empty(), "seed " << Seed << ": " << Violation);
+    // A limiter that refuses everything would also pass.
+    BOOST_TEST(Run.admitted() > 300,
+               "seed " << Seed << " admitted only " << Run.admitted());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/accounts/tests/support/checked_fleet.h
@@ -0,0 +1,122 @@
+#ifndef RADISHRELAY_ACCOUNTS_TESTS_CHECKED_FLEET_H
+#define RADISHRELAY_ACCOUNTS_TESTS_CHECKED_FLEET_H
+
+#include "fake_fleet.h"
+#include "reference_bucket.h"
+
+#include <map>
+#include <string>
+
+namespace radishrelay::accounts::fakes {
+
+/// A fleet under the oracle: every admission must find a token in the
+/// reference bucket of its account, and after every step the tokens at hand
+/// and on loan must stay within the shares and, over all hosts, the burst.
+class checked_fleet {
+public:
+  explicit checked_fleet(std::uint64_t Seed) : Fleet(Seed) {
+    Fleet.OnDecision = [this](const fake_fleet::host &Host,
+                              const request_decided &Decided) {
+      decided(Host, Decided);
+    };
+    Fleet.OnStep = [this](const fake_fleet::host &Host) { check(Host); };
+  }
+
+  void addAccount(const std::string &Name, std::int64_t Rate,
+                  std::int64_t Burst) {
+    base::account_id Account(Name);
+    Fleet.Configuration.Accounts.push_back({Account, Rate, Burst});
+    Oracles.emplace(Account, reference_bucket(Rate, Burst));
+  }
+
+  /// Requests of one account at one host, evenly spaced, until \p End.
+  void load(fake_fleet::host &Host, const std::string &Account,
+            std::int64_t PerSecond, base::time_point End) {
+    if (Fleet.Queue.now() >= End)
+      return;
+    Fleet.request(Host, base::account_id(Account));
+    Fleet.Queue.after(base::duration(1'000'000 / PerSecond), [=, this, &Host] {
+      load(Host, Account, PerSecond, End);
+    });
+  }
+
+  /// Admissions of the account so far, over all hosts or on one.
+  std::int64_t admittedOf(const std::string &Account,
+                          const std::string &Host = "") const {
+    auto Found = Admitted.find({Account, Host});
+    return Found == Admitted.end() ? 0 : Found->second;
+  }
+
+  fake_fleet Fleet;
+  /// The first failure of each kind; empty when all is well.
+  std::string Violation;
+
+private:
+  /// Tokens at hand and on loan at a host's last step.
+  struct held_tokens {
+    token_amount Amount = 0;
+    base::time_point At;
+  };
+
+  void report(const std::string &What, const fake_fleet::host &Host) {
+    if (Violation.empty())
+      Violation = What + " on " + Host.Identity.Host.str() + " at " +
+                  std::to_string(base::toMicroseconds(Fleet.Queue.now())) +
+                  " us";
+  }
+
+  void decided(const fake_fleet::host &Host, const request_decided &Decided) {
+    if (!std::holds_alternative<admitted>(Decided.Admission))
+      return;
+    const std::string &Account = Decided.Account.str();
+    ++Admitted[{Account, ""}];
+    ++Admitted[{Account, Host.Identity.Host.str()}];
+    if (!Oracles.at(Decided.Account).take(Fleet.Queue.now()))
+      report("admission of " + Account + " above rate and burst", Host);
+  }
+
+  void check(const fake_fleet::host &Host) {
+    base::json Dump = Host.Limiter->dump();
+    std::int64_t Now = base::toMicroseconds(Fleet.localTime(Host));
+    for (const account_limits &Limits : Fleet.Configuration.Accounts) {
+      if (!Dump["accounts"].contains(Limits.Account.str()))
+        continue;
+      const base::json &State = Dump["accounts"][Limits.Account.str()];
+      token_amount Held = 0;
+      for (const char *Name : {"floor", "leased"}) {
+        const base::json &Pool = State[Name];
+        token_amount Out = Pool["outstanding"].get<token_amount>();
+        token_amount Level = Pool["level"].get<token_amount>();
+        if (Level > 0 && Level + Out > Pool["burst"].get<token_amount>())
+          report("tokens above the burst share", Host);
+        if (Now < Pool["deadline_us"].get<std::int64_t>())
+          Held += Level + Out;
+      }
+      checkSum(Limits, Held, Host);
+    }
+  }
+
+  void checkSum(const account_limits &Limits, token_amount Held,
+                const fake_fleet::host &Host) {
+    auto &ByHost = HeldBy[Limits.Account];
+    ByHost[Host.Identity.Host] = {Held, Fleet.Queue.now()};
+    // The leases of a paused host may have ended since its last step; it is
+    // counted again with its first step after the pause.
+    base::time_point Oldest = Fleet.Queue.now() - 2 * timing::TickInterval;
+    token_amount Sum = 0;
+    for (const auto &[Id, Known] : ByHost)
+      if (Known.At >= Oldest && Fleet.Hosts.at(Id).Limiter)
+        Sum += Known.Amount;
+    if (Sum > Limits.Burst * OneToken)
+      report("more tokens of " + Limits.Account.str() + " than its burst",
+             Host);
+  }
+
+  std::map<base::account_id, reference_bucket> Oracles;
+  std::map<std::pair<std::string, std::string>, std::int64_t> Admitted;
+  std::map<base::account_id, std::map<base::host_id, held_tokens>> HeldBy;
+};
+
+} // namespace radishrelay::accounts::fakes
+
+#endif
