Join the decision packages to the daemon: a thin whole path

Cause: a request has to be served from end to end by separate processes before anything is widened. Change: relay, group runtime and process threads built together; stand-in commands with a control port for faults.

--- a/packages/cli/src/command.cpp
+++ b/packages/cli/src/command.cpp
@@ -2,6 +2,7 @@
 
 #include "operator_commands.h"
 #include "secret_commands.h"
+#include "stand_in_commands.h"
 
 #include <algorithm>
 
@@ -49,6 +50,10 @@
       {"metrics", "print a host's metrics", runMetrics},
       {"key new", "make a key for a client account", runKeyNew},
       {"token new", "make a token for an operator", runTokenNew},
+      {"stand-in platform", "run a small stand-in of the platform",
+       runStandInPlatform},
+      {"stand-in database", "run a small stand-in of a database group",
+       runStandInDatabase},
   };
   return Commands;
 }
--- a/packages/daemon/main/radishrelayd.cpp
+++ b/packages/daemon/main/radishrelayd.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <thread>
 
 namespace {
 
--- a/packages/daemon/src/relay.cpp
+++ b/packages/daemon/src/relay.cpp
@@ -187,7 +187,8 @@
                                    Quota,
                                    ++LastGroupSerial,
                                    Options.Seed + LastGroupSerial};
-    auto Runtime = std::make_unique<group_runtime>(Settings, *this);
+    auto Runtime = std::make_unique<group_runtime>(
+        Settings, static_cast<group_outputs &>(*this));
     GroupsBySerial[LastGroupSerial] = Runtime.get();
     Runtime->tick(Now);
     Groups[Group.Id] = {Group, std::move(Runtime)};
