--- /dev/null
+++ b/sessions/sessions_test.cpp
@@ -0,0 +1,53 @@
+#include "session_script.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <Poco/Environment.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+namespace {
+
+using namespace radishrelay::sessions;
+
+namespace files = std::filesystem;
+
+/// Names of the scripts, without ".session".
+std::vector<std::string> scriptNames() {
+  std::vector<std::string> Names;
+  for (const auto &Entry : files::directory_iterator(RADISHRELAY_SESSION_DATA))
+    if (Entry.path().extension() == ".session")
+      Names.push_back(Entry.path().stem().string());
+  std::sort(Names.begin(), Names.end());
+  return Names;
+}
+
+std::string readFile(const files::path &Path) {
+  std::ifstream Input(Path);
+  return {std::istreambuf_iterator<char>(Input), {}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(whole_sessions_through_the_real_programs)
+
+/// With RADISHRELAY_REGENERATE=1 the golden files are written anew, for review.
+BOOST_DATA_TEST_CASE(match_their_golden_file,
+                     boost::unit_test::data::make(scriptNames()), Name) {
+  files::path Script =
+      files::path(RADISHRELAY_SESSION_DATA) / (Name + ".session");
+  files::path Golden =
+      files::path(RADISHRELAY_SESSION_DATA) / (Name + ".golden");
+  deployment Deployment;
+  std::string Transcript = session_script(Deployment).run(readFile(Script));
+  if (Poco::Environment::get("RADISHRELAY_REGENERATE", "") == "1")
+    std::ofstream(Golden) << Transcript;
+  BOOST_TEST(Transcript == readFile(Golden));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
