--- a/packages/groups/src/evidence_book.cpp
+++ b/packages/groups/src/evidence_book.cpp
@@ -58,13 +58,19 @@
 }
 
 log_position lastEntry(const instance_status &Status) {
+  // Terms may be left out of a log: the last entry is of the latest term that
+  // starts within it, which need not be the one before the next start.
   log_position Last = Status.Position;
-  for (const log_position &Start : Status.TermStarts) {
+  bool IsBehindStart =
+      std::ranges::any_of(Status.TermStarts, [&](const log_position &Start) {
+        return Start.Offset > Status.Position.Offset;
+      });
+  if (!IsBehindStart)
+    return Last;
+  Last.Term = 0;
+  for (const log_position &Start : Status.TermStarts)
     if (Start.Offset <= Status.Position.Offset)
-      continue;
-    // The log ends before this term begins: its last entry is of an older one.
-    Last.Term = std::min(Last.Term, Start.Term - 1);
-  }
+      Last.Term = std::max(Last.Term, Start.Term);
   return Last;
 }
 
--- a/packages/groups/tests/simulation/fake_store.h
+++ b/packages/groups/tests/simulation/fake_store.h
@@ -27,6 +27,9 @@
     base::store_answer Answer = {base::store_outcome::Done, {Row}, 0, {}, {}};
     if (const auto *Change = std::get_if<base::store_transaction>(&Request)) {
       ++Writes;
+      // Of two lost answers, one is to a request that was lost already.
+      if (Mode == store_mode::LosesAnswers && Writes % 2 == 0)
+        return {};
       if (Change->Conditions.front().Version == Row.Version)
         Row = {Row.Key, Row.Version + 1, Change->Writes.front().Value};
       else
--- a/packages/groups/tests/simulation/message_queue.h
+++ b/packages/groups/tests/simulation/message_queue.h
@@ -3,7 +3,9 @@
 
 #include "sim_node.h"
 
+#include "radishrelay/groups/failover_options.h"
 #include "radishrelay/groups/stored_term_majority_strategy.h"
+#include "radishrelay/groups/write_tracker.h"
 
 #include "radishrelay/base/random_generator.h"
 
@@ -23,6 +25,9 @@
   base::duration ReplicationLag = std::chrono::milliseconds(5);
   base::duration WriteInterval = std::chrono::milliseconds(10);
   base::duration WriteTimeout = std::chrono::seconds(1);
+  base::duration CallSpacing = write_tracker_options{}.CallSpacing;
+  /// Probing and deadlines; the simulation sets the identity.
+  failover_options Timing;
   double DropChance = 0;
   double RepeatChance = 0;
   /// Chance of a message that takes up to a second.
--- a/packages/groups/tests/write_tracker_test.cpp
+++ b/packages/groups/tests/write_tracker_test.cpp
@@ -137,6 +137,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(last_entry_of_a_log)
+
+// Guards against a replica that ranks above complete logs since it names the
+// term of a primary whose log it holds only in part.
+BOOST_AUTO_TEST_CASE(is_of_the_latest_term_that_starts_within_the_log) {
+  instance_status Partial = {
+      instance_role::Replica, {12, 74}, 12, {{9, 50}, {11, 81}, {12, 100}}, {}};
+  BOOST_TEST((lastEntry(Partial) == log_position{9, 74}));
+  Partial.Position.Offset = 100;
+  BOOST_TEST((lastEntry(Partial) == log_position{12, 100}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(failures_end_in_an_unknown_outcome)
 
 // Guards against a paused holder that acknowledges on what it knew before.
