--- a/packages/groups/src/term_history.cpp
+++ b/packages/groups/src/term_history.cpp
@@ -34,8 +34,18 @@
   if (Own == Starts.end())
     return position_relation::Lost;
   // The current term is the last entry, hence an older one has a successor.
-  bool IsKept = Position.Offset <= std::next(Own)->Offset;
-  return IsKept ? position_relation::Contained : position_relation::Lost;
+  // An instance that was promoted before it held all entries of the term that
+  // it followed lists that term with a start beyond the own one.
+  auto HasLowerOffset = [](const log_position &Left,
+                           const log_position &Right) {
+    return Left.Offset < Right.Offset;
+  };
+  auto End = std::min_element(std::next(Own), Starts.end(), HasLowerOffset);
+  if (Position.Offset > End->Offset)
+    return position_relation::Lost;
+  // A replica may follow a newer primary before it holds the older entries.
+  bool IsReached = Position.Offset <= Current.Offset;
+  return IsReached ? position_relation::Contained : position_relation::Behind;
 }
 
 base::json term_history::dump() const {
