Test the failures of backend connections and groups

Change: nested suites for each of them over loopback sockets, and text commands for the stand-in's faults. Change for cost: events of one pass are delivered together, and the wake-up descriptor is edge-triggered and no longer read (see docs/backend.md).

--- a/packages/backend/src/backend_loop.cpp
+++ b/packages/backend/src/backend_loop.cpp
@@ -26,13 +26,18 @@
     std::optional<base::time_point> Next;
     if (!Deadlines.empty())
       Next = Deadlines.begin()->first;
-    for (const epoll_event &Event : Poller.wait(Next))
+    auto Ready = Poller.wait(Next);
+    // Before the events: a thread that was paused past a deadline must not
+    // deliver an answer that arrived after it.
+    endOverdue();
+    for (const epoll_event &Event : Ready)
       onReady(Event);
     takeCommands();
-    endOverdue();
+    deliverEvents();
   }
-  takeCommands();
   dropAll();
+  refuseRemaining();
+  deliverEvents();
 }
 
 void backend_loop::takeCommands() {
@@ -40,6 +45,12 @@
     std::visit([this](const auto &C) { handle(C); }, *Command);
 }
 
+void backend_loop::deliverEvents() {
+  for (backend_event &Event : Events)
+    Sink(std::move(Event));
+  Events.clear();
+}
+
 void backend_loop::handle(const open_connection &Command) {
   entry Entry;
   Entry.Connection = std::make_unique<pg_connection>(Command, Options);
@@ -88,7 +99,7 @@
   Event.Run = Command.Run;
   Event.Failure = Reason;
   Event.SentAt = base::monotonic_clock::now();
-  Sink(std::move(Event));
+  Events.emplace_back(std::move(Event));
 }
 
 void backend_loop::onReady(const epoll_event &Event) {
@@ -111,9 +122,9 @@
   if (Finished || IsOpened)
     clearDeadline(Id, Entry);
   if (IsOpened)
-    Sink(connection_opened{Id});
+    Events.emplace_back(connection_opened{Id});
   if (Finished)
-    Sink(std::move(*Finished));
+    Events.emplace_back(std::move(*Finished));
   if (Connection.currentState() == pg_connection::state::Failed)
     drop(Place, Connection.failure());
   else
@@ -166,8 +177,8 @@
   // gone. The kernel removes a closed socket from the poller.
   Entries.erase(Place);
   if (Run)
-    Sink(std::move(*Run));
-  Sink(connection_closed{Connection, std::move(Failure)});
+    Events.emplace_back(std::move(*Run));
+  Events.emplace_back(connection_closed{Connection, std::move(Failure)});
 }
 
 void backend_loop::dropAll() {
@@ -177,4 +188,14 @@
   }
 }
 
+void backend_loop::refuseRemaining() {
+  while (std::optional<backend_command> Command = Commands.tryPop()) {
+    if (auto *Open = std::get_if<open_connection>(&*Command))
+      Events.emplace_back(
+          connection_closed{Open->Connection, closedBy("stop", Open->Address)});
+    else if (auto *Run = std::get_if<run_statements>(&*Command))
+      refuse(*Run, closedBy("stop", ""));
+  }
+}
+
 } // namespace radishrelay::backend::detail
--- a/packages/backend/src/backend_loop.h
+++ b/packages/backend/src/backend_loop.h
@@ -35,6 +35,7 @@
   using entry_map = std::unordered_map<connection_id, entry>;
 
   void takeCommands();
+  void deliverEvents();
   void handle(const open_connection &Command);
   void handle(const run_statements &Command);
   void handle(const close_connection &Command);
@@ -49,12 +50,17 @@
   /// Ends the run, reports the end of the connection and closes it.
   void drop(entry_map::iterator Place, const base::failure &Reason);
   void dropAll();
+  /// Answers commands that arrived before the stop without executing them.
+  void refuseRemaining();
 
   const backend_thread_options &Options;
   base::bounded_ring<backend_command> &Commands;
   poller &Poller;
   backend_thread::event_sink Sink;
   entry_map Entries;
+  /// Events of the current pass. Delivered together, since the receiver would
+  /// otherwise be woken for the first and fall asleep before the next.
+  std::vector<backend_event> Events;
   std::set<std::pair<base::time_point, connection_id>> Deadlines;
 };
 
--- a/packages/backend/src/backend_thread.cpp
+++ b/packages/backend/src/backend_thread.cpp
@@ -2,6 +2,8 @@
 
 #include "backend_loop.h"
 
+#include <pthread.h>
+
 #include <thread>
 
 namespace radishrelay::backend {
@@ -10,7 +12,10 @@
   state(const backend_thread_options &Options, event_sink Sink)
       : Options(Options), Commands(Options.CommandCapacity),
         Loop(this->Options, Commands, Poller, std::move(Sink)),
-        Thread([this] { Loop.run(); }) {}
+        Thread([this] { Loop.run(); }) {
+    // At most 15 bytes; shown by the tools of the system.
+    pthread_setname_np(Thread.native_handle(), "backend");
+  }
 
   backend_thread_options Options;
   base::bounded_ring<backend_command> Commands;
--- a/packages/backend/src/pg_connection.cpp
+++ b/packages/backend/src/pg_connection.cpp
@@ -18,10 +18,19 @@
 /// who runs the daemon, and it warns of one that is not a plain file.
 constexpr const char *NoPasswordFile = "/dev/null/none";
 
+/// "[::1]" gives "::1".
+std::string withoutBrackets(const std::string &Host) {
+  bool HasBrackets = Host.starts_with('[') && Host.ends_with(']');
+  return HasBrackets ? Host.substr(1, Host.size() - 2) : Host;
+}
+
+/// Notices have no place in the events, and libpq would print them.
+void dropNotice(void *, const char *) {}
+
 PGconn *startConnect(const open_connection &Command,
                      const backend_thread_options &Options) {
   std::size_t Colon = Command.Address.rfind(':');
-  std::string Host = Command.Address.substr(0, Colon);
+  std::string Host = withoutBrackets(Command.Address.substr(0, Colon));
   std::string Port = Colon == std::string::npos
                          ? std::string()
                          : Command.Address.substr(Colon + 1);
@@ -118,6 +127,8 @@
       Interest(EPOLLOUT) {
   if (!Handle || PQstatus(Handle.get()) == CONNECTION_BAD)
     fail(backend_error::ConnectFailed, "connect", libraryMessage());
+  else
+    PQsetNoticeProcessor(Handle.get(), dropNotice, nullptr);
 }
 
 pg_connection::~pg_connection() {
--- a/packages/backend/src/poller.cpp
+++ b/packages/backend/src/poller.cpp
@@ -32,7 +32,8 @@
       WakeFd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
   if (EpollFd < 0 || WakeFd < 0)
     throwLastError("create poller");
-  add(WakeFd, WakeKey, EPOLLIN);
+  // Edge-triggered, so that each wake() is reported once without a read.
+  add(WakeFd, WakeKey, EPOLLIN | EPOLLET);
 }
 
 poller::~poller() {
@@ -73,8 +74,6 @@
   });
   if (Wake == End)
     return Count;
-  std::uint64_t Value = 0;
-  [[maybe_unused]] ssize_t Size = read(WakeFd, &Value, sizeof(Value));
   // Cleared before the caller looks for work, so that work which arrives
   // later causes another wake-up.
   WakePending = false;
--- a/packages/backend/src/stand_in_group.cpp
+++ b/packages/backend/src/stand_in_group.cpp
@@ -2,6 +2,8 @@
 
 #include "stand_in_loop.h"
 
+#include <pthread.h>
+
 #include <stdexcept>
 #include <thread>
 
@@ -9,7 +11,9 @@
 
 struct stand_in_group::state {
   explicit state(const stand_in_options &Options)
-      : Loop(Options), Thread([this] { Loop.run(); }) {}
+      : Loop(Options), Thread([this] { Loop.run(); }) {
+    pthread_setname_np(Thread.native_handle(), "stand-in");
+  }
 
   /// Runs \p Function with the instance on the group's thread and returns its
   /// result.
--- a/packages/backend/src/stand_in_session.h
+++ b/packages/backend/src/stand_in_session.h
@@ -22,6 +22,9 @@
   /// Takes ownership of \p Fd.
   stand_in_session(instance_context &Instance, session_id Id, int Fd,
                    cancel_handler OnCancel);
+  ~stand_in_session();
+  stand_in_session(const stand_in_session &) = delete;
+  stand_in_session &operator=(const stand_in_session &) = delete;
 
   [[nodiscard]] int fd() const { return Socket.fd(); }
   [[nodiscard]] bool isClosed() const { return IsClosed; }
--- a/packages/backend/tests/group_fixture.h
+++ b/packages/backend/tests/group_fixture.h
@@ -9,6 +9,8 @@
 inline stand_in_options withPermits() {
   stand_in_options Options;
   Options.ConnectDelay = base::duration::zero();
+  // Longer than any pause of a busy machine.
+  Options.LockWait = std::chrono::minutes(10);
   Options.Schema = {
       {"CREATE TABLE permits (id INTEGER PRIMARY KEY, status TEXT)", {}}};
   return Options;
--- a/packages/backend/tests/replication_test.cpp
+++ b/packages/backend/tests/replication_test.cpp
@@ -1,4 +1,6 @@
 #include "group_fixture.h"
+#include "radishrelay/backend/stand_in_command.h"
+#include "radishrelay/base/json.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -39,6 +41,16 @@
   BOOST_TEST(statusOf(Results.at(0)).AppliedAge.has_value());
 }
 
+// Guards against a lag that is not in force, or delays the other replica.
+BOOST_AUTO_TEST_CASE(leaves_a_lagging_replica_behind) {
+  Group.setLag(2, std::chrono::minutes(10));
+  file(Client.open(Group.address(0)), "1");
+  awaitPosition(1, {1, 2});
+  BOOST_TEST(permitsAt(2) == "0");
+  Group.setLag(2, base::duration::zero());
+  awaitPosition(2, {1, 2});
+}
+
 // Guards against a second instance that accepts writes.
 BOOST_AUTO_TEST_CASE(refuses_writes_on_a_replica) {
   connection_id Replica = Client.open(Group.address(1));
@@ -111,4 +123,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(controlled_by_text)
+
+// Guards against a command that does something else than its method, and
+// against malformed lines that stop the stand-in.
+BOOST_AUTO_TEST_CASE(obeys_commands_and_refuses_others) {
+  for (const char *Line :
+       {"kill 1", "cut 0", "join 0", "silence 0", "lose-answer 0", "delay 0 0",
+        "lag 2 5", "service-time 2 1"})
+    BOOST_TEST(runStandInCommand(Group, Line).hasValue(), Line);
+  for (const char *Line : {"", "kill", "kill 3", "kill x", "kill 1 1", "lag 1",
+                           "lag 1 x", "explode 1"})
+    BOOST_TEST(!runStandInCommand(Group, Line).hasValue(), Line);
+  base::json Status = base::json::parse(*runStandInCommand(Group, "status"));
+  BOOST_TEST(Status.at(0).at("alive").get<bool>());
+  BOOST_TEST(!Status.at(1).at("alive").get<bool>());
+  BOOST_TEST(Status.at(1).at("address").get<std::string>() == Group.address(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
