--- a/packages/backend/tests/replication_test.cpp
+++ b/packages/backend/tests/replication_test.cpp
@@ -1,4 +1,6 @@
 #include "group_fixture.h"
+#include "radishrelay/backend/stand_in_command.h"
+#include "radishrelay/base/json.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -121,4 +123,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(controlled_by_text)
+
+// Guards against a command that does something else than its method, and
+// against malformed lines that stop the stand-in.
+BOOST_AUTO_TEST_CASE(obeys_commands_and_refuses_others) {
+  for (const char *Line :
+       {"kill 1", "cut 0", "join 0", "silence 0", "lose-answer 0", "delay 0 0",
+        "lag 2 5", "service-time 2 1"})
+    BOOST_TEST(runStandInCommand(Group, Line).hasValue(), Line);
+  for (const char *Line : {"", "kill", "kill 3", "kill x", "kill 1 1", "lag 1",
+                           "lag 1 x", "explode 1"})
+    BOOST_TEST(!runStandInCommand(Group, Line).hasValue(), Line);
+  base::json Status = base::json::parse(*runStandInCommand(Group, "status"));
+  BOOST_TEST(Status.at(0).at("alive").get<bool>());
+  BOOST_TEST(!Status.at(1).at("alive").get<bool>());
+  BOOST_TEST(Status.at(1).at("address").get<std::string>() == Group.address(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/daemon/src/relay.cpp
+++ b/packages/daemon/src/relay.cpp
@@ -170,6 +170,7 @@
   base::json Fields = base::json::object();
   Fields["version"] = Document->Version;
   Outputs.log(base::log_level::Info, "configuration adopted", Fields);
+  Outputs.log(base::log_level::Info, "ready", Fields);
 }
 
 void relay::updateGroups(const fleet::configuration_document &Document) {
