groups: leave the outcome unknown to a rollback after a lost commit

Cause: a caller that rolls back because its commit had no answer was told ran=no, from which it could conclude that the transaction had no effect. Change: a rollback after a commit without answer, or on a host that lost its memory, is answered ran=unknown, and one after a commit ran=yes.

--- a/packages/groups/include/radishrelay/groups/transaction_reply.h
+++ b/packages/groups/include/radishrelay/groups/transaction_reply.h
@@ -44,9 +44,10 @@
     std::variant<use_connection, transaction_finished, transaction_refusal>;
 
 /// Returns the reply for a transaction whose host cannot be reached or has
-/// been restarted. Without COMMIT the database rolls back, hence only the
-/// outcome of a commit is unknown.
-transaction_refusal refusalForLostHost(bool IsCommit);
+/// been restarted. Without COMMIT the database rolls back. A commit may have
+/// been sent before, and a rollback may follow a commit without answer, hence
+/// both leave the outcome unknown (\p EndsTransaction).
+transaction_refusal refusalForLostHost(bool EndsTransaction);
 
 } // namespace radishrelay::groups
 
--- a/packages/groups/src/transaction_table.cpp
+++ b/packages/groups/src/transaction_table.cpp
@@ -9,9 +9,9 @@
 
 namespace radishrelay::groups {
 
-transaction_refusal refusalForLostHost(bool IsCommit) {
+transaction_refusal refusalForLostHost(bool EndsTransaction) {
   return {request_error::TransactionLost,
-          IsCommit ? ran_state::Unknown : ran_state::No};
+          EndsTransaction ? ran_state::Unknown : ran_state::No};
 }
 
 transaction_table::transaction_table(base::host_id Host,
@@ -55,7 +55,7 @@
                                            state Next, base::time_point Now) {
   bool IsHere = Id.Host == Host && Id.Incarnation == Incarnation;
   if (!IsHere)
-    return refusalForLostHost(Next == state::Committing);
+    return refusalForLostHost(Next != state::Running);
   auto Entry = Open.find(Id.Number);
   if (Entry == Open.end())
     return replyAfterEnd(Id, Account, Next);
@@ -79,21 +79,24 @@
 transaction_table::replyAfterEnd(const transaction_id &Id,
                                  const base::account_id &Account,
                                  state Next) const {
-  bool IsCommit = Next == state::Committing;
+  bool EndsTransaction = Next != state::Running;
   auto Entry = Ended.find(Id.Number);
   if (Entry == Ended.end())
-    return refusalForLostHost(IsCommit);
+    return refusalForLostHost(EndsTransaction);
   const ended_transaction &Item = Entry->second;
   if (Item.Account != Account)
     return transaction_refusal{request_error::TransactionLost, ran_state::No};
-  if (IsCommit && Item.Outcome == outcome::Committed)
-    return transaction_finished{true, Item.Position};
-  if (IsCommit && Item.Outcome == outcome::Unknown)
+  if (EndsTransaction && Item.Outcome == outcome::Unknown)
     return transaction_refusal{request_error::OutcomeUnknown,
                                ran_state::Unknown};
+  if (Next == state::Committing && Item.Outcome == outcome::Committed)
+    return transaction_finished{true, Item.Position};
   if (Next == state::RollingBack && Item.Outcome == outcome::RolledBack)
     return transaction_finished{false, {}};
-  return transaction_refusal{request_error::TransactionLost, ran_state::No};
+  bool IsTooLate =
+      Next == state::RollingBack && Item.Outcome == outcome::Committed;
+  return transaction_refusal{request_error::TransactionLost,
+                             IsTooLate ? ran_state::Yes : ran_state::No};
 }
 
 transaction_end transaction_table::requestEnded(std::uint64_t Number,
--- a/packages/groups/tests/transactions_test.cpp
+++ b/packages/groups/tests/transactions_test.cpp
@@ -107,6 +107,7 @@
   BOOST_TEST((Result.Reply == Finished));
   BOOST_TEST((Result.Release->End == connection_use_end::NeedsReset));
   BOOST_TEST((Table.beginCommit(Id, Owner, Start) == Finished));
+  BOOST_TEST((Table.beginRollback(Id, Owner, Start) == lost(ran_state::Yes)));
 }
 
 // Guards against "not run" for a commit whose answer was lost (P9).
@@ -118,6 +119,7 @@
   BOOST_TEST((Result.Reply == Unknown));
   BOOST_TEST((Result.Release->End == connection_use_end::Uncertain));
   BOOST_TEST((Table.beginCommit(Id, Owner, Start) == Unknown));
+  BOOST_TEST((Table.beginRollback(Id, Owner, Start) == Unknown));
 }
 
 // Guards against a commit that is taken for failed because the status after it
@@ -142,14 +144,17 @@
 
 BOOST_FIXTURE_TEST_SUITE(failures, one_transaction)
 
-// Guards against a promise about a commit by a host that has lost its memory.
-BOOST_AUTO_TEST_CASE(of_the_host_leave_only_commits_unknown) {
+// Guards against a promise about a commit by a host that has lost its memory,
+// also to a caller that rolls back because its commit had no answer.
+BOOST_AUTO_TEST_CASE(of_the_host_leave_its_end_unknown) {
   transaction_id Earlier = Id;
   Earlier.Incarnation = 6;
   BOOST_TEST(
       (Table.beginStatement(Earlier, Owner, Start) == lost(ran_state::No)));
   BOOST_TEST(
       (Table.beginCommit(Earlier, Owner, Start) == lost(ran_state::Unknown)));
+  BOOST_TEST(
+      (Table.beginRollback(Earlier, Owner, Start) == lost(ran_state::Unknown)));
 }
 
 // Guards against a request that hangs on a silent connection.
