--- a/packages/backend/tests/replication_test.cpp
+++ b/packages/backend/tests/replication_test.cpp
@@ -123,6 +123,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(with_a_lagging_replica)
+
+// Guards against the promotion of a replica that looks newer than the one with
+// all entries because it has heard of a newer term.
+BOOST_AUTO_TEST_CASE(keeps_it_in_the_old_term_until_it_has_the_entries) {
+  Group.setLag(2, std::chrono::minutes(10));
+  file(Client.open(Group.address(0)), "1");
+  awaitPosition(1, {1, 2});
+  connection_id New = Client.open(Group.address(1));
+  Client.expectRun(New, {raiseTo("2"), promoteTo("2")});
+  awaitPosition(0, {2, 2});
+  groups::instance_status Lagging = Group.reports()[2].Status;
+  BOOST_TEST((Lagging.Position == groups::log_position{1, 1}));
+  BOOST_TEST(Lagging.RaisedTerm == 2U);
+  Group.setLag(2, base::duration::zero());
+  awaitPosition(2, {2, 2});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(controlled_by_text)
 
 // Guards against a command that does something else than its method, and
