Refuse runs whose results are incomplete

Cause: a server that ends a pipeline early made a run succeed with fewer results than statements, and libpq reports no error for it. Change: such a run ends with ConnectionLost and the connection is closed; a bound on empty results keeps the thread from spinning.

--- a/packages/backend/src/pg_connection.cpp
+++ b/packages/backend/src/pg_connection.cpp
@@ -18,6 +18,15 @@
 /// who runs the daemon, and it warns of one that is not a plain file.
 constexpr const char *NoPasswordFile = "/dev/null/none";
 
+/// libpq separates the results of two statements by one empty result. More mean
+/// that it expects nothing more, although the run has not ended.
+constexpr int MostEmptyResults = 2;
+
+struct clear_result {
+  void operator()(PGresult *Result) const { PQclear(Result); }
+};
+using result = std::unique_ptr<PGresult, clear_result>;
+
 /// "[::1]" gives "::1".
 std::string withoutBrackets(const std::string &Host) {
   bool HasBrackets = Host.starts_with('[') && Host.ends_with(']');
@@ -181,7 +190,8 @@
   Run.emplace();
   Run->Connection = Command.Connection;
   Run->Run = Command.Run;
-  Run->Results.reserve(Command.Statements.size());
+  ExpectedResults = Command.Statements.size();
+  Run->Results.reserve(ExpectedResults);
   Run->SentAt = base::monotonic_clock::now();
   // libpq may write to the socket in any of the calls below.
   Run->MayHaveReached = true;
@@ -207,11 +217,16 @@
 
 void pg_connection::receive() {
   bool IsAlive = PQconsumeInput(Handle.get()) == 1;
-  while (State == state::Running && !PQisBusy(Handle.get()))
-    if (PGresult *Result = PQgetResult(Handle.get())) {
-      takeResult(Result);
-      PQclear(Result);
-    }
+  int Empty = 0;
+  while (State == state::Running && !PQisBusy(Handle.get())) {
+    result Result(PQgetResult(Handle.get()));
+    Empty = Result ? 0 : Empty + 1;
+    if (Result)
+      takeResult(Result.get());
+    else if (Empty > MostEmptyResults)
+      fail(backend_error::ConnectionLost, "receive results",
+           "the server ended the pipeline early");
+  }
   if (!IsAlive && State != state::Failed)
     fail(backend_error::ConnectionLost, "receive results", libraryMessage());
 }
@@ -253,6 +268,11 @@
 }
 
 void pg_connection::completeRun() {
+  if (!Run->Failure && Run->Results.size() != ExpectedResults) {
+    fail(backend_error::ConnectionLost, "receive results",
+         "fewer results than statements");
+    return;
+  }
   // The transaction status is known once libpq has left the sync point.
   if (PQtransactionStatus(Handle.get()) == PQTRANS_ACTIVE)
     PQclear(PQgetResult(Handle.get()));
--- a/packages/backend/src/pg_connection.h
+++ b/packages/backend/src/pg_connection.h
@@ -65,6 +65,7 @@
   std::uint32_t Interest;
   base::failure Failure;
   std::optional<run_finished> Run;
+  std::size_t ExpectedResults = 0;
   bool RunEnded = false;
 };
 
