--- a/packages/groups/include/radishrelay/groups/promoter.h
+++ b/packages/groups/include/radishrelay/groups/promoter.h
@@ -72,6 +72,7 @@
   void onRecorded(const base::store_answer &Answer, base::time_point Now);
   void considerRow(const base::store_answer &Answer, base::time_point Now,
                    failover_actions &Actions);
+  [[nodiscard]] base::duration takeoverDelay() const;
   void newTerm(term_number StoredTerm);
   void claimed(base::row_version NewVersion, base::time_point Now,
                failover_actions &Actions);
--- a/packages/groups/include/radishrelay/groups/term_lease_reader.h
+++ b/packages/groups/include/radishrelay/groups/term_lease_reader.h
@@ -6,6 +6,7 @@
 #include "radishrelay/groups/store_call_answer.h"
 #include "radishrelay/groups/term_lease.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace radishrelay::groups {
@@ -21,6 +22,9 @@
   /// Returns the read that is due, if any.
   std::optional<store_call> advance(base::time_point Now);
 
+  /// Makes a read due at once, for example after a change of term.
+  void renew(base::time_point Now) { DueAt = std::min(DueAt, Now); }
+
   /// Returns the lease that the answer gives, if any; it may have ended.
   [[nodiscard]] std::optional<term_lease>
   handle(const store_call_answer &Answer) const;
--- a/packages/groups/src/promoter_store.cpp
+++ b/packages/groups/src/promoter_store.cpp
@@ -74,13 +74,20 @@
   if (IsOthers && RespectedVersion != Version) {
     // Another promoter is at work or has just finished: give it time, once.
     RespectedVersion = Version;
-    finish(Now + Options.TakeoverDelay);
+    finish(Now + takeoverDelay());
     return;
   }
   newTerm(Stored.Term);
   writeRecord(promotion_stage::Claiming, Now, Actions);
 }
 
+base::duration promoter::takeoverDelay() const {
+  // An owner that waits for leases is at work although nothing shows it.
+  if (!Strategy->waitsForLeases())
+    return Options.TakeoverDelay;
+  return Options.TakeoverDelay + Options.LeaseDuration + Options.LeaseMargin;
+}
+
 void promoter::onClaim(const base::store_answer &Answer, base::time_point Now,
                        failover_actions &Actions) {
   if (Answer.Outcome == base::store_outcome::Done)
--- a/packages/groups/tests/failover_property_test.cpp
+++ b/packages/groups/tests/failover_property_test.cpp
@@ -139,7 +139,7 @@
         Domain = Candidate.Domain;
   base::duration Length = milliseconds(Random.below(1000));
   fake_instance &Instance = World.Instances[Domain];
-  switch (Random.below(12)) {
+  switch (Random.below(13)) {
   case 0:
     simulation::crash(Instance);
     World.after(Length, [&Instance] { Instance.IsAlive = true; });
@@ -156,8 +156,10 @@
   case 4:
     World.isolate(Domain, true);
     break;
-  case 5: // one direction only
-    World.IsCut[Domain][Random.below(simulation::Domains + 1)] = true;
+  case 5: // one direction only: calls arrive, answers are lost
+    World.isolate(Domain, true);
+    for (auto &From : World.IsCut)
+      From[Domain] = false;
     break;
   case 6:
     World.Store.Mode = store_mode::Down;
@@ -165,6 +167,13 @@
   case 7:
     World.Store.Mode = store_mode::LosesAnswers;
     break;
+  case 8: // a pause that spans a failover
+    simulation::crash(Instance);
+    World.after(Length, [&Instance] { Instance.IsAlive = true; });
+    for (sim_host &Host : World.Hosts)
+      if (Random.chance(0.5))
+        Host.PausedUntil = World.Now + milliseconds(400 + Random.below(600));
+    break;
   default:
     heal(World);
   }
--- a/packages/groups/tests/failover_test.cpp
+++ b/packages/groups/tests/failover_test.cpp
@@ -1,5 +1,7 @@
 #include "simulation/simulation.h"
 
+#include "radishrelay/groups/term_lease_strategy.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace {
@@ -95,6 +97,38 @@
     BOOST_REQUIRE((World.Writes[Write].Result == write_result::Acknowledged));
 }
 
+// Guards against a message repeated by one domain that counts as agreement.
+BOOST_AUTO_TEST_CASE(when_suspicions_come_from_its_own_domain_or_term) {
+  failover_options Options;
+  Options.Group = base::group_id("g");
+  Options.FailureDomain = base::failure_domain_id("d0");
+  primary_suspicion Suspicion(Options);
+  Suspicion.setTerm(3);
+  Suspicion.noteFailure();
+  Suspicion.noteFailure();
+  auto Message = [&](term_number Term, const char *Domain) {
+    return suspicion{Options.Group, Term, base::host_id("h9"),
+                     base::failure_domain_id(Domain)};
+  };
+  Suspicion.receive(Message(3, "d0"), World.Now);
+  Suspicion.receive(Message(2, "d1"), World.Now);
+  BOOST_TEST(!Suspicion.isConfirmed(true, World.Now));
+  Suspicion.receive(Message(3, "d1"), World.Now);
+  BOOST_TEST(Suspicion.isConfirmed(false, World.Now));
+  BOOST_TEST(
+      !Suspicion.isConfirmed(true, World.Now + Options.SuspicionLifetime));
+}
+
+// Guards against a state dump that does not say what the host does.
+BOOST_AUTO_TEST_CASE(and_the_state_dump_names_it) {
+  base::json Dump = World.Hosts[1].Failover->dump();
+  BOOST_TEST(Dump["primary"] == "i0");
+  BOOST_TEST(Dump["term"] == 1);
+  BOOST_TEST(Dump["promoter"]["stage"] == "idle");
+  BOOST_TEST(World.Hosts[1].Tracker->dump()["strategy"] ==
+             "stored_term_majority");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_failed_primary_is_replaced)
@@ -162,6 +196,18 @@
   BOOST_TEST(World.Hosts[1].Failover->view().Primary.has_value());
 }
 
+// Guards against retries that keep a recovering store down.
+BOOST_AUTO_TEST_CASE(for_long_and_retries_stay_within_their_budget) {
+  World.Store.Mode = store_mode::Down;
+  simulation::crash(World.Instances[0]);
+  run(seconds(60));
+  failover_options Options;
+  std::uint64_t PerHost =
+      Options.RetryBurst +
+      static_cast<std::uint64_t>(seconds(60) / Options.RetryInterval) + 1;
+  BOOST_TEST(World.Store.Calls <= simulation::Domains * PerHost);
+}
+
 // Guards against hosts that wait for the store to learn the new primary.
 BOOST_AUTO_TEST_CASE(after_the_claim_so_probing_finds_the_primary) {
   simulation::crash(World.Instances[0]);
@@ -236,6 +282,18 @@
   BOOST_TEST(allSee(2, "i2"));
 }
 
+// Guards against ranking a partial copy of a newer term's log above a log that
+// holds every acknowledged write.
+BOOST_AUTO_TEST_CASE(primary_dies_while_a_replica_copies_a_newer_term) {
+  simulation::crash(World.Instances[0]);
+  fake_instance &Partial = World.Instances[1];
+  Partial.Term = Partial.RaisedTerm = 2;
+  Partial.Starts.push_back({2, Partial.Log.size()});
+  Partial.Log.resize(Partial.Log.size() / 2);
+  run(seconds(3));
+  BOOST_TEST(allSee(3, "i2"));
+}
+
 // Guards against a term raised by a dead promoter that blocks the primary.
 BOOST_AUTO_TEST_CASE(promoter_and_its_candidate_die) {
   simulation::crash(World.Instances[0]);
@@ -249,6 +307,41 @@
               World.Instances[2].Role == instance_role::Primary));
 }
 
+// Guards against a takeover from a promoter that waits for leases to end.
+BOOST_AUTO_TEST_CASE(leases_run_while_the_primary_is_dead) {
+  simulation_options Options;
+  Options.Strategy = std::make_shared<term_lease_strategy>();
+  simulation Leased(Options);
+  Leased.runUntil(Leased.Now + seconds(1));
+  simulation::crash(Leased.Instances[0]);
+  Leased.runUntil(Leased.Now + seconds(6));
+  BOOST_TEST(Leased.Store.record().Term == 2U);
+  BOOST_TEST(Leased.Hosts[1].Failover->view().Primary.has_value());
+}
+
+// Guards against a promoter that counts on its term after losing the store.
+BOOST_AUTO_TEST_CASE(promoter_pauses_while_the_store_loses_its_claim) {
+  simulation::crash(World.Instances[0]);
+  sim_host &Promoter = runTo(promotion_stage::Claiming);
+  World.Store.Mode = store_mode::LosesAnswers;
+  Promoter.PausedUntil = World.Now + seconds(3);
+  run(seconds(1));
+  World.Store.Mode = store_mode::Up;
+  run(seconds(6));
+  BOOST_TEST(hasFailedOver(World.Store.record().Term));
+}
+
+// Guards against a gap in which no write is possible after the store's return.
+BOOST_AUTO_TEST_CASE(primary_dies_in_a_long_store_outage) {
+  World.Store.Mode = store_mode::Down;
+  run(seconds(30));
+  simulation::crash(World.Instances[0]);
+  run(seconds(30));
+  World.Store.Mode = store_mode::Up;
+  run(seconds(3));
+  BOOST_TEST(hasFailedOver(2));
+}
+
 // Guards against an acknowledgement by a primary that has been replaced.
 BOOST_AUTO_TEST_CASE(host_stays_with_a_partitioned_primary) {
   World.isolate(0, true);
--- a/packages/groups/tests/simulation/fake_store.h
+++ b/packages/groups/tests/simulation/fake_store.h
@@ -16,12 +16,14 @@
   store_mode Mode = store_mode::Up;
   base::table_row Row;
   std::uint64_t Writes = 0;
+  std::uint64_t Calls = 0;
 
   [[nodiscard]] group_record record() const {
     return parseGroupRecord(Row.Value);
   }
 
   base::store_answer run(const base::store_request &Request) {
+    ++Calls;
     if (Mode == store_mode::Down)
       return {base::store_outcome::NotDone, {}, 0, {}, {}};
     base::store_answer Answer = {base::store_outcome::Done, {Row}, 0, {}, {}};
--- a/packages/groups/tests/simulation/simulation.h
+++ b/packages/groups/tests/simulation/simulation.h
@@ -133,7 +133,10 @@
         post(Host, Other, [this, &Other, Message] { tell(Other, Message); });
   }
 
-  void perform(sim_host &, const group_view &) {}
+  void perform(sim_host &Host, const group_view &) {
+    if (Host.Leases)
+      Host.Leases->renew(Now);
+  }
   void perform(sim_host &, const acknowledge_write &Action) {
     end(Action.Write, write_result::Acknowledged);
   }
@@ -238,11 +241,14 @@
                std::size_t Limit) {
     if (&From == &To || From.Role != instance_role::Primary || !From.IsAlive)
       return;
-    post(From, To, [this, &To, Part = From.part(Offset, Limit)] {
-      after(Options.ReplicationLag, [this, &To, Part, I = To.Incarnation] {
-        deliver(To, I, [&To, Part] { To.follow(Part); });
-      });
-    });
+    // The lag is the sender's: what was not sent is lost with it.
+    after(Options.ReplicationLag,
+          [this, &From, &To, Part = From.part(Offset, Limit),
+           I = From.Incarnation] {
+            deliver(From, I, [this, &From, &To, Part] {
+              post(From, To, [&To, Part] { To.follow(Part); });
+            });
+          });
   }
 
   /// Repairs gaps that lost parts have left. Long gaps take several rounds, so
