Test the ranking of logs at a promotion

Cause: a promoter that ranked logs by length, or by the term that a replica names, failed only in the property test, after many steps.

--- a/packages/groups/tests/failover_test.cpp
+++ b/packages/groups/tests/failover_test.cpp
@@ -294,6 +294,23 @@
   BOOST_TEST(allSee(3, "i2"));
 }
 
+// Guards against ranking by length alone: an old primary's tail that no other
+// instance has can be longer than the log of the newer term.
+BOOST_AUTO_TEST_CASE(primary_dies_while_the_old_one_returns) {
+  World.isolate(0, true);
+  run(seconds(2));
+  auto IsNew = [](const fake_instance &Instance) { return Instance.Term == 2; };
+  fake_instance &First = World.Instances[1];
+  fake_instance &Second = World.Instances[2];
+  BOOST_REQUIRE(IsNew(First) && IsNew(Second));
+  bool IsFirstPrimary = First.Role == instance_role::Primary;
+  simulation::crash(IsFirstPrimary ? First : Second);
+  World.Instances[0].Log.resize(World.Instances[0].Log.size() + 10'000);
+  World.isolate(0, false);
+  run(seconds(3));
+  BOOST_TEST(allSee(3, IsFirstPrimary ? "i2" : "i1"));
+}
+
 // Guards against a term raised by a dead promoter that blocks the primary.
 BOOST_AUTO_TEST_CASE(promoter_and_its_candidate_die) {
   simulation::crash(World.Instances[0]);
