--- a/packages/accounts/src/leased_shares.cpp
+++ b/packages/accounts/src/leased_shares.cpp
@@ -238,9 +238,9 @@
     }
   if (Demand <= 0)
     return Leasable / Domains;
-  // A tenth is split equally, so that a domain whose demand begins has tokens
+  // A part is split equally, so that a domain whose demand begins has tokens
   // before the split has followed.
-  millionths Equal = Leasable / 10;
+  millionths Equal = Leasable * 3 / 10;
   millionths ByDemand = Leasable - Equal;
   return Equal / Domains + ByDemand * Wish.Demand / Demand;
 }
