--- a/packages/accounts/tests/limits_property_test.cpp
+++ b/packages/accounts/tests/limits_property_test.cpp
@@ -33,8 +33,9 @@
   explicit random_run(std::uint64_t Seed) : Checked(Seed) {
     fake_fleet &Fleet = Checked.Fleet;
     Fleet.Configuration = {1, 6, 300'000, {}};
-    Checked.addAccount("large", 50, 80);
-    Checked.addAccount("small", 4, 3);
+    // Small bursts fill within a second, so that a share in use twice shows.
+    Checked.addAccount("large", 50, 20);
+    Checked.addAccount("small", 6, 3);
     for (auto [Name, Domain] :
          {std::pair("h1", "boston"), std::pair("h2", "boston"),
           std::pair("h3", "hartford"), std::pair("h4", "hartford"),
@@ -49,12 +50,13 @@
   std::string run() {
     fake_fleet &Fleet = Checked.Fleet;
     base::time_point End = Fleet.Queue.now() + RunTime;
-    for (auto &[Id, Host] : Fleet.Hosts) {
-      Checked.load(Host, "large", 60, End);
-      Checked.load(Host, "small", 5, End);
-    }
+    burst("large", 150, End);
+    burst("small", 12, End);
     Fleet.advance(15s);
-    Fleet.Faults = {0.05, 0.05, 0.05, 0.03, 0.05, 0.0002};
+    // Many faults lose tokens, which would hide that others exist twice.
+    double Scale = Fleet.Random.unit() * Fleet.Random.unit();
+    Fleet.Faults = {0.1 * Scale, 0.1 * Scale,  0.1 * Scale,   0.05 * Scale,
+                    0.1 * Scale, 0.05 * Scale, 0.0005 * Scale};
     while (Fleet.Queue.now() < End && Checked.Violation.empty()) {
       fault();
       Fleet.advance(FaultInterval);
@@ -67,6 +69,22 @@
   }
 
 private:
+  /// Bursts at several times the rate on all hosts, with pauses in which the
+  /// buckets fill: only full buckets show tokens that exist twice.
+  void burst(const std::string &Account, std::int64_t PerSecond,
+             base::time_point End) {
+    fake_fleet &Fleet = Checked.Fleet;
+    base::duration On(100'000 + Fleet.Random.below(1'400'000));
+    base::duration Off(100'000 + Fleet.Random.below(4'000'000));
+    base::time_point Until = Fleet.Queue.now() + On;
+    for (auto &[Id, Host] : Fleet.Hosts)
+      if (Fleet.Random.chance(0.7))
+        Checked.load(Host, Account, PerSecond, Until);
+    if (Until < End)
+      Fleet.Queue.after(On + Off,
+                        [=, this] { burst(Account, PerSecond, End); });
+  }
+
   fake_fleet::host &anyHost() {
     auto Host = Checked.Fleet.Hosts.begin();
     std::advance(Host, Checked.Fleet.Random.below(Checked.Fleet.Hosts.size()));
@@ -100,6 +118,15 @@
       // Two hosts with different lists of live hosts.
       return Fleet.tellLive(
           Host, {{Host.Identity.Host, Host.Identity.FailureDomain}});
+    case 9:
+      // Answers to writes come late, then the failure domain is cut off: a
+      // lease dated by its answer outlives what the others grant it.
+      Fleet.Faults.StoreAnswerDelayed = 0.7;
+      Fleet.advance(2s);
+      Fleet.Partitioned.insert(Host.Identity.FailureDomain);
+      Fleet.Faults.StoreAnswerDelayed = 0;
+      Fleet.advance(5s);
+      return;
     default:
       return Fleet.announce();
     }
@@ -122,7 +149,7 @@
     std::string Violation = Run.run();
     BOOST_TEST(Violation.empty(), "seed " << Seed << ": " << Violation);
     // A limiter that refuses everything would also pass.
-    BOOST_TEST(Run.admitted() > 300,
+    BOOST_TEST(Run.admitted() > 150,
                "seed " << Seed << " admitted only " << Run.admitted());
   }
 }
