Add the configuration editor, replica, evidence, membership and drain

Cause: a withdrawn key must stop working on each host that still serves keyed routes within 3 s, through outages of the store, partitions and restarts, and planned stops must interrupt no request. Change: configuration_editor stores a patch, its history and its submission in one conditional transaction and accepts it once a majority of the witnesses holds it; a lost answer is resolved by repeating the transaction. configuration_replica adopts higher versions only, from the store or by deltas with a digest. freshness_evidence is dated when the question was sent; a restarted host counts as a witness only after it read the store, or on evidence dated 3.5 s after its start, when acknowledgements of its former incarnation no longer count. A change of witnesses needs majorities of both lists until the editor confirms it. membership probes, suspects and refutes over MessagePack packets below 1,200 bytes; drain is the order of a planned stop.

--- /dev/null
+++ b/packages/fleet/src/freshness_evidence.cpp
@@ -0,0 +1,193 @@
+#include "radishrelay/fleet/freshness_evidence.h"
+
+#include "radishrelay/fleet/witness_majority.h"
+
+#include <algorithm>
+
+namespace radishrelay::fleet {
+
+namespace {
+
+/// Versions ahead of the host for which evidence is kept.
+constexpr std::size_t MostPending = 8;
+constexpr std::size_t WitnessesAskedForEvidence = 2;
+
+} // namespace
+
+freshness_evidence::freshness_evidence(base::host_id Self,
+                                       base::time_point StartedAt,
+                                       const freshness_options &Options)
+    : Self(std::move(Self)), StartedAt(StartedAt), Options(Options) {}
+
+void freshness_evidence::onAdopted(configuration_pointer NewDocument,
+                                   std::uint64_t NewDigest) {
+  Document = std::move(NewDocument);
+  Version = Document->Version;
+  Digest = NewDigest;
+  while (!Pending.empty() && Pending.begin()->first <= Version) {
+    raise(Pending.begin()->second);
+    Pending.erase(Pending.begin());
+  }
+  recompute();
+}
+
+void freshness_evidence::onStoreVersion(configuration_version StoreVersion,
+                                        base::time_point SentAt) {
+  addEvidence(StoreVersion, SentAt);
+  // Whatever a former incarnation acknowledged was in the store before.
+  if (StoreVersion <= Version && SentAt >= StartedAt && Document)
+    Confirmed = true;
+}
+
+void freshness_evidence::addEvidence(configuration_version Known,
+                                     base::time_point At) {
+  if (Known <= Version) {
+    raise(At);
+    return;
+  }
+  auto [Entry, New] = Pending.emplace(Known, At);
+  Entry->second = std::max(Entry->second, At);
+  if (Pending.size() > MostPending)
+    Pending.erase(Pending.begin());
+}
+
+void freshness_evidence::raise(base::time_point At) {
+  EvidenceAt = EvidenceAt ? std::max(*EvidenceAt, At) : At;
+  if (*EvidenceAt >= StartedAt + Options.RestartSilence)
+    Confirmed = true;
+}
+
+bool freshness_evidence::counts(const evidence_answer &Answer) const {
+  if (!Answer.Confirmed || Answer.Version > Version)
+    return false;
+  return Answer.Version < Version || Answer.Digest == Digest;
+}
+
+std::optional<base::time_point> freshness_evidence::witnessesAskedAt() const {
+  auto AskedAt =
+      [this](const base::host_id &Host) -> std::optional<base::time_point> {
+    if (Host == Self)
+      return Confirmed ? std::optional(base::time_point::max()) : std::nullopt;
+    auto Found = Answers.find(Host);
+    if (Found == Answers.end() || !counts(Found->second.Answer))
+      return std::nullopt;
+    return Found->second.AskedAt;
+  };
+  return majorityAskedAt(*Document, AskedAt);
+}
+
+void freshness_evidence::recompute() {
+  if (!Document)
+    return;
+  auto At = witnessesAskedAt();
+  if (At && *At != base::time_point::max())
+    raise(*At);
+}
+
+void freshness_evidence::trustOwnMajority(base::time_point Now) {
+  // A host that is the only witness holds each accepted configuration itself.
+  if (witnessesAskedAt() == base::time_point::max())
+    raise(Now);
+}
+
+void freshness_evidence::onAnswer(const base::host_id &Host,
+                                  std::uint64_t Sequence,
+                                  const evidence_answer &Answer) {
+  auto Found = Questions.find(Sequence);
+  if (Found == Questions.end() || Found->second.Host != Host)
+    return;
+  base::time_point AskedAt = Found->second.AskedAt;
+  Questions.erase(Found);
+  onDatedAnswer(Host, Answer, AskedAt);
+}
+
+void freshness_evidence::onDatedAnswer(const base::host_id &Host,
+                                       const evidence_answer &Answer,
+                                       base::time_point AskedAt) {
+  bool Diverged = Answer.Version == Version && Answer.Digest != Digest;
+  if (Diverged && Document)
+    return;
+  auto [Entry, New] = Answers.emplace(Host, dated_answer{Answer, AskedAt});
+  if (!New && AskedAt >= Entry->second.AskedAt)
+    Entry->second = {Answer, AskedAt};
+  if (Answer.EvidenceAge)
+    addEvidence(Answer.Version, AskedAt - *Answer.EvidenceAge);
+  recompute();
+}
+
+bool freshness_evidence::isDue(base::time_point Now) const {
+  return !LastAskedAt || Now - *LastAskedAt >= Options.AskInterval;
+}
+
+std::vector<base::host_id>
+freshness_evidence::chooseHosts(base::time_point Now) {
+  std::vector<base::host_id> Hosts = allWitnesses(*Document);
+  std::erase(Hosts, Self);
+  base::duration Age = EvidenceAt ? Now - *EvidenceAt : base::duration::max();
+  bool AskAll = Age >= Options.AskAllAge;
+  if (isWitness(*Document, Self) && Age >= Options.AskInterval)
+    AskAll = true;
+  if (AskAll || Hosts.empty())
+    return Hosts;
+  if (Age < Options.AskSomeAge)
+    return {};
+  std::vector<base::host_id> Some;
+  for (std::size_t Count = 0; Count < WitnessesAskedForEvidence; ++Count)
+    Some.push_back(Hosts[NextWitness++ % Hosts.size()]);
+  return Some;
+}
+
+std::vector<ask_version> freshness_evidence::tick(base::time_point Now) {
+  std::vector<ask_version> Actions;
+  if (!Document)
+    return Actions;
+  trustOwnMajority(Now);
+  if (!isDue(Now))
+    return Actions;
+  LastAskedAt = Now;
+  std::erase_if(Questions, [&](const auto &Entry) {
+    return Now - Entry.second.AskedAt > Options.MaxAge;
+  });
+  std::erase_if(Answers, [&](const auto &Entry) {
+    return Now - Entry.second.AskedAt > Options.MaxAge;
+  });
+  for (base::host_id &Host : chooseHosts(Now)) {
+    Questions[++LastSequence] = {Host, Now};
+    Actions.push_back({std::move(Host), LastSequence});
+  }
+  return Actions;
+}
+
+std::optional<base::time_point> freshness_evidence::freshUntil() const {
+  if (!Document || !EvidenceAt)
+    return std::nullopt;
+  return *EvidenceAt + Options.MaxAge;
+}
+
+bool freshness_evidence::isFresh(base::time_point Now) const {
+  auto Until = freshUntil();
+  return Until && Now <= *Until;
+}
+
+evidence_answer freshness_evidence::answer(base::time_point Now) const {
+  evidence_answer Answer{Version, Digest, Confirmed, std::nullopt};
+  if (Document && EvidenceAt)
+    Answer.EvidenceAge = Now - *EvidenceAt;
+  return Answer;
+}
+
+base::json freshness_evidence::dump(base::time_point Now) const {
+  base::json Age;
+  if (EvidenceAt)
+    Age = (Now - *EvidenceAt).count();
+  base::json Versions = base::json::object();
+  for (const auto &[Host, Entry] : Answers)
+    Versions[Host.str()] = Entry.Answer.Version;
+  return {{"version", Version},
+          {"fresh", isFresh(Now)},
+          {"confirmed", Confirmed},
+          {"evidence_age_us", std::move(Age)},
+          {"answers", std::move(Versions)}};
+}
+
+} // namespace radishrelay::fleet
--- /dev/null
+++ b/packages/fleet/tests/propagation_test.cpp
@@ -0,0 +1,249 @@
+#include "fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace radishrelay;
+using namespace radishrelay::fleet;
+using namespace radishrelay::fleet::testing;
+using namespace std::chrono_literals;
+
+/// Five hosts, the first three of them witnesses.
+struct fixture {
+  fake_fleet Fleet{1, 5};
+  std::map<std::string, submission_result> Results;
+  base::account_id Account{"installers"};
+
+  fixture() {
+    Fleet.OnFinished = [this](const submission_finished &Action) {
+      Results[Action.Id] = Action.Result;
+    };
+    submit(0, "first", {grant_key{Account, {"k2", "s", "d"}}}, 0);
+    run(3s);
+  }
+  void run(base::duration Duration) {
+    Fleet.run(Duration, [] {});
+  }
+  void submit(std::size_t At, const std::string &Id, configuration_patch Patch,
+              configuration_version Expected) {
+    Fleet.submit(At, {Id, "clerk", "why", "now", Expected, std::move(Patch)},
+                 2s);
+  }
+  configuration_patch withdrawal() { return {withdraw_key{Account, "k2"}}; }
+  submission_status status(const std::string &Id) {
+    return Results.at(Id).Status;
+  }
+  bool isFresh(std::size_t Index) {
+    return Fleet.Hosts[Index].Replica->freshness().isFresh(Fleet.Now);
+  }
+  configuration_version version(std::size_t Index) {
+    return Fleet.Hosts[Index].Replica->version();
+  }
+  void stopStore() {
+    for (auto &Host : Fleet.Hosts)
+      Host.StoreReachable = false;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(propagation, fixture)
+
+BOOST_AUTO_TEST_SUITE(operators)
+
+BOOST_AUTO_TEST_CASE(an_accepted_patch_reaches_all_hosts) {
+  BOOST_TEST((status("first") == submission_status::Accepted));
+  for (std::size_t Index = 0; Index < 5; ++Index) {
+    BOOST_TEST(version(Index) == 1U);
+    BOOST_TEST(isFresh(Index));
+  }
+}
+
+// Guards against one operator silently overwriting another's change.
+BOOST_AUTO_TEST_CASE(only_one_of_two_racing_operators_wins) {
+  submit(3, "a", withdrawal(), 1);
+  submit(4, "b", {set_limit{Account, 1, 1}}, 1);
+  run(2s);
+  bool FirstWon = status("a") == submission_status::Accepted;
+  auto Loser = Results.at(FirstWon ? "b" : "a");
+  BOOST_TEST((Loser.Status == submission_status::Conflict));
+  BOOST_TEST(Loser.CurrentVersion == 2U);
+  BOOST_TEST((Loser.Ran == submission_effect::No));
+}
+
+// Guards against a repetition that is refused as a conflict with itself, or
+// that takes effect twice, also on a host that does not know the first.
+BOOST_AUTO_TEST_CASE(a_repetition_receives_the_first_answer) {
+  submit(3, "a", withdrawal(), 1);
+  run(1s);
+  Results.clear();
+  Fleet.restart(3);
+  submit(3, "a", withdrawal(), 1);
+  run(2s);
+  BOOST_TEST((status("a") == submission_status::Accepted));
+  BOOST_TEST(Results.at("a").Version == 2U);
+  submit(3, "a", {set_limit{Account, 1, 1}}, 2);
+  run(1s);
+  BOOST_TEST((status("a") == submission_status::Invalid));
+}
+
+// Guards against a lost answer that is reported as a refusal.
+BOOST_AUTO_TEST_CASE(lost_answers_are_resolved_by_repetition) {
+  Fleet.Network.StoreLoss = 0.5;
+  int Accepted = 0;
+  for (int Round = 0; Round < 20; ++Round) {
+    submit(3, "r" + std::to_string(Round), {set_limit{Account, Round, 1}},
+           version(3));
+    run(3s);
+    auto Result = Results.at("r" + std::to_string(Round));
+    Accepted += Result.Status == submission_status::Accepted ? 1 : 0;
+    BOOST_TEST((Result.Status != submission_status::Conflict));
+  }
+  BOOST_TEST(Accepted > 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_outage_refuses_with_not_run) {
+  stopStore();
+  submit(0, "a", withdrawal(), 1);
+  run(3s);
+  BOOST_TEST((status("a") == submission_status::StoreUnavailable));
+  BOOST_TEST((Results.at("a").Ran == submission_effect::No));
+}
+
+// Guards against a 200 that a majority of the witnesses does not know.
+BOOST_AUTO_TEST_CASE(without_witnesses_a_patch_is_stored_but_not_confirmed) {
+  Fleet.Hosts[0].Side = Fleet.Hosts[3].Side = 1;
+  submit(3, "a", withdrawal(), 1);
+  run(3s);
+  BOOST_TEST((status("a") == submission_status::StoredUnconfirmed));
+  BOOST_TEST((Results.at("a").Ran == submission_effect::Yes));
+}
+
+BOOST_AUTO_TEST_CASE(a_change_of_witnesses_ends_by_itself) {
+  submit(0, "w", {set_witnesses{{Fleet.Hosts[3].Id, Fleet.Hosts[4].Id}}}, 1);
+  run(5s);
+  BOOST_TEST((status("w") == submission_status::Accepted));
+  const auto &Document = Fleet.Hosts[2].Replica->index()->document();
+  BOOST_TEST(Document.Version == 3U);
+  BOOST_TEST(Document.PreviousWitnesses.empty());
+  BOOST_TEST(isFresh(2));
+}
+
+BOOST_AUTO_TEST_CASE(a_change_of_witnesses_waits_for_both_lists) {
+  Fleet.Hosts[1].Side = Fleet.Hosts[2].Side = 1;
+  submit(0, "w", {set_witnesses{{Fleet.Hosts[3].Id, Fleet.Hosts[4].Id}}}, 1);
+  run(5s);
+  BOOST_TEST((status("w") == submission_status::StoredUnconfirmed));
+  BOOST_TEST(
+      !Fleet.Hosts[3].Replica->index()->document().PreviousWitnesses.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(outages)
+
+// Guards against keyed requests that stop because only the store is down.
+BOOST_AUTO_TEST_CASE(a_store_outage_alone_stops_nothing) {
+  stopStore();
+  for (int Second = 0; Second < 60; ++Second) {
+    run(1s);
+    for (std::size_t Index = 0; Index < 5; ++Index)
+      BOOST_TEST(isFresh(Index));
+  }
+}
+
+// Guards against a withdrawn key on a host that cannot know of it.
+BOOST_AUTO_TEST_CASE(a_partitioned_host_stops_within_three_seconds) {
+  Fleet.Hosts[4].Side = 1;
+  Fleet.Hosts[4].StoreReachable = false;
+  submit(0, "a", withdrawal(), 1);
+  run(3100ms);
+  BOOST_TEST((status("a") == submission_status::Accepted));
+  BOOST_TEST(!isFresh(4));
+  BOOST_TEST(isFresh(3));
+  Fleet.Hosts[4].Side = 0;
+  run(3s);
+  BOOST_TEST(isFresh(4));
+  BOOST_TEST(version(4) == 2U);
+}
+
+// Guards against a restarted host that serves an empty configuration.
+BOOST_AUTO_TEST_CASE(a_host_restarted_without_the_store_learns_from_peers) {
+  stopStore();
+  Fleet.restart(4);
+  BOOST_TEST(!isFresh(4));
+  run(3s);
+  BOOST_TEST(version(4) == 1U);
+  BOOST_TEST(isFresh(4));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_restarted_alone_does_not_serve) {
+  stopStore();
+  Fleet.Hosts[4].Side = 1;
+  Fleet.restart(4);
+  run(10s);
+  BOOST_TEST(!isFresh(4));
+  BOOST_TEST(version(4) == 0U);
+}
+
+// Guards against a fleet that restarts from one stale witness.
+BOOST_AUTO_TEST_CASE(a_lost_majority_of_witnesses_waits_for_the_store) {
+  stopStore();
+  Fleet.restart(0);
+  Fleet.restart(1);
+  run(20s);
+  BOOST_TEST(!isFresh(3));
+  Fleet.Hosts[0].StoreReachable = true;
+  run(5s);
+  BOOST_TEST(isFresh(3));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a version row whose number JSON holds as signed; it was
+// ignored, so that the store gave no evidence.
+BOOST_AUTO_TEST_CASE(a_signed_version_from_the_store_is_evidence) {
+  configuration_replica Replica(base::host_id("host-1"), Fleet.Now);
+  Replica.onDocument(exampleDocument());
+  auto Actions = Replica.tick(Fleet.Now);
+  base::store_answer Answer;
+  Answer.Outcome = base::store_outcome::Done;
+  Answer.SentAt = Fleet.Now;
+  Answer.Rows = {{versionRow(), 1, {{"version", std::int64_t(7)}}}};
+  Replica.onStoreAnswer(std::get<read_store>(Actions.at(0)).Id, Answer,
+                        Fleet.Now);
+  BOOST_TEST(Replica.freshness().isFresh(Fleet.Now));
+}
+
+BOOST_AUTO_TEST_SUITE(deltas)
+
+BOOST_AUTO_TEST_CASE(hold_patches_or_else_the_whole_document) {
+  submit(0, "a", withdrawal(), 1);
+  run(2s);
+  auto &Replica = *Fleet.Hosts[1].Replica;
+  BOOST_TEST(Replica.since(2).Patches.empty());
+  BOOST_TEST(Replica.since(0).Document.has_value());
+}
+
+// Guards against a delta that leads to another document than the sender's.
+BOOST_AUTO_TEST_CASE(are_refused_when_the_digest_differs) {
+  auto &Replica = *Fleet.Hosts[1].Replica;
+  configuration_delta Delta{1, 2, {withdrawal()}, std::nullopt, "00"};
+  auto Actions = Replica.onDelta(Fleet.Hosts[2].Id, Delta, Fleet.Now);
+  BOOST_TEST(Replica.version() == 1U);
+  BOOST_REQUIRE_EQUAL(Actions.size(), 1U);
+  BOOST_TEST(std::get<fetch_configuration>(Actions[0]).Since == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(never_lower_the_version) {
+  auto &Replica = *Fleet.Hosts[1].Replica;
+  auto Older = exampleDocument();
+  Older.Version = 0;
+  BOOST_TEST(Replica.onDocument(Older).empty());
+  BOOST_TEST(Replica.version() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
