--- a/packages/fleet/tests/configuration_property_test.cpp
+++ b/packages/fleet/tests/configuration_property_test.cpp
@@ -59,7 +59,7 @@
   }
 
   void act() {
-    switch (random(12)) {
+    switch (random(14)) {
     case 0:
       anyHost().StoreReachable = false;
       break;
@@ -82,6 +82,13 @@
     case 5:
       restart(random(HostCount));
       break;
+    case 10:
+      restartSeveral();
+      break;
+    case 11:
+      for (auto &Host : Fleet.Hosts)
+        Host.CallsWork = Fleet.Random.chance(0.7);
+      break;
     case 6:
       anyHost().PausedUntil = Fleet.Now + base::duration(random(5'000'000));
       break;
@@ -91,6 +98,8 @@
       break;
     case 8:
       Fleet.Network = {};
+      for (auto &Host : Fleet.Hosts)
+        Host.CallsWork = true;
       break;
     case 9:
       changeWitnesses();
@@ -105,6 +114,16 @@
     Versions[Index] = 0;
   }
 
+  /// Restarts hosts that cannot read the store.
+  void restartSeveral() {
+    for (std::size_t Index = 0; Index < HostCount; ++Index) {
+      if (!Fleet.Random.chance(0.3))
+        continue;
+      Fleet.Hosts[Index].StoreReachable = false;
+      restart(Index);
+    }
+  }
+
   void changeWitnesses() {
     std::vector<base::host_id> Hosts;
     for (const auto &Host : Fleet.Hosts)
--- a/packages/fleet/tests/fake_fleet.h
+++ b/packages/fleet/tests/fake_fleet.h
@@ -23,6 +23,8 @@
     base::host_id Id;
     std::uint64_t Incarnation = 0;
     bool StoreReachable = true;
+    /// False when heartbeats pass and calls (JSON-RPC) do not.
+    bool CallsWork = true;
     /// Hosts of different sides do not reach each other.
     int Side = 0;
     base::time_point PausedUntil;
@@ -238,8 +240,14 @@
     });
   }
 
+  [[nodiscard]] bool canCall(std::size_t From, std::size_t To) const {
+    return Hosts[From].CallsWork && Hosts[To].CallsWork;
+  }
+
   void perform(std::size_t From, const fetch_configuration &Action) {
     auto To = find(Action.Peer);
+    if (!canCall(From, *To))
+      return;
     deliver(From, *To, [=, this] {
       // The codec is part of what is tested.
       base::json Text = formatDelta(Hosts[*To].Replica->since(Action.Since));
@@ -252,7 +260,7 @@
 
   void perform(std::size_t From, const store_at_witness &Action) {
     auto To = find(Action.Host);
-    if (!To)
+    if (!To || !canCall(From, *To))
       return;
     std::uint64_t Incarnation = Hosts[From].Incarnation;
     deliver(From, *To, [=, this] {
--- a/packages/fleet/tests/propagation_test.cpp
+++ b/packages/fleet/tests/propagation_test.cpp
@@ -48,6 +48,40 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(acknowledgements)
+
+// Guards against a majority of which one witness has restarted in the
+// meantime: acknowledgements count together for 3 s only.
+BOOST_AUTO_TEST_CASE(expire_before_a_restarted_witness_counts_again) {
+  base::time_point Now = base::fromMicroseconds(1'000'000);
+  editor_options Options;
+  Options.Initial = exampleDocument();
+  configuration_editor Editor(Options);
+  configuration_patch Patch{set_limit{base::account_id("installers"), 1, 1}};
+  fake_store Store;
+  auto Actions =
+      Editor.submit({"a", "clerk", "why", "now", 7, Patch}, Now, Now + 60s);
+  while (const auto *Use = std::get_if<use_store>(&Actions.at(0)))
+    Actions = Editor.onStoreAnswer(Use->Id, Store.execute(Use->Request), Now);
+  auto Acknowledge = [&](const char *Host) {
+    for (const editor_action &Action : editor_actions(Actions))
+      if (const auto *Offer = std::get_if<store_at_witness>(&Action))
+        if (Offer->Host.str() == Host)
+          return Editor.onWitnessAnswer(Offer->Sequence, 8, Now);
+    return editor_actions();
+  };
+  BOOST_TEST(Acknowledge("host-1").empty());
+  Now += 3100ms;
+  Actions = Editor.tick(Now);
+  BOOST_TEST(Acknowledge("host-2").empty());
+  auto Result = Acknowledge("host-1");
+  BOOST_REQUIRE_EQUAL(Result.size(), 1U);
+  BOOST_TEST((std::get<submission_finished>(Result[0]).Result.Status ==
+              submission_status::Accepted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(propagation, fixture)
 
 BOOST_AUTO_TEST_SUITE(operators)
