Join configuration, membership, limits, drain and operators to the daemon

Cause: the thin path read the configuration by itself and admitted everything. Change: fleet runtime (membership, configuration replica and editor), limits runtime, audit, operators' API, graceful drain, datagrams for loans and suspicions, radishrelay config init.

--- a/packages/cli/src/command.cpp
+++ b/packages/cli/src/command.cpp
@@ -1,5 +1,6 @@
 #include "radishrelay/cli/command.h"
 
+#include "config_init_command.h"
 #include "operator_commands.h"
 #include "secret_commands.h"
 #include "stand_in_commands.h"
@@ -39,6 +40,8 @@
 
 const std::vector<command> &allCommands() {
   static const std::vector<command> Commands{
+      {"config init", "store the first configuration of a fleet",
+       runConfigInit},
       {"config show", "print the configuration in force", runConfigShow},
       {"config history", "print who changed what and when", runConfigHistory},
       {"config patch", "submit a patch against a numbered version",
--- /dev/null
+++ b/packages/daemon/include/radishrelay/daemon/fleet_runtime.h
@@ -0,0 +1,128 @@
+#ifndef RADISHRELAY_DAEMON_FLEET_RUNTIME_H
+#define RADISHRELAY_DAEMON_FLEET_RUNTIME_H
+
+#include "radishrelay/base/log.h"
+#include "radishrelay/daemon/peer_method.h"
+#include "radishrelay/daemon/platform_threads.h"
+#include "radishrelay/fleet/configuration_editor.h"
+#include "radishrelay/fleet/configuration_replica.h"
+#include "radishrelay/fleet/membership.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishrelay::daemon {
+
+/// Takes the result of a call to a peer, or its failure.
+using peer_result_handler =
+    std::function<void(const base::expected<base::json> &)>;
+
+/// Takes the end of a submission.
+using submission_handler =
+    std::function<void(const fleet::submission_result &)>;
+
+/// What a fleet_runtime needs from the rest of the decision thread.
+class fleet_outputs {
+public:
+  virtual ~fleet_outputs() = default;
+
+  virtual void sendMembershipPacket(const std::string &Address,
+                                    const std::string &Packet) = 0;
+  /// Returns false when no answer will come.
+  virtual bool
+  submitConfigurationRequest(std::uint64_t Id,
+                             const base::store_request &Request) = 0;
+  virtual void callPeerAt(const std::string &Address, peer_method Method,
+                          base::json &&Parameters,
+                          peer_result_handler &&Handler) = 0;
+  virtual void onConfiguration(
+      const std::shared_ptr<const fleet::configuration_index> &) = 0;
+  virtual void onMembersChanged() = 0;
+  virtual void logFleet(base::log_level Level, std::string_view Event,
+                        const base::json &Fields) = 0;
+};
+
+/// Joins membership, the configuration replica and the configuration editor of
+/// a host to the platform and the other hosts.
+class fleet_runtime {
+public:
+  fleet_runtime(const fleet::member_update &Self, std::uint64_t Seed,
+                const std::vector<std::string> &JoinAddresses,
+                base::time_point StartedAt, fleet_outputs &Outputs);
+
+  void tick(base::time_point Now);
+  [[nodiscard]] base::time_point nextWake() const { return NextTick; }
+
+  void onPacket(const std::string &Packet, const std::string &Sender,
+                base::time_point Now);
+  void onStore(std::uint64_t Id, const base::store_answer &Answer,
+               base::time_point Now);
+  void onListedHosts(const std::vector<base::listed_host> &Hosts,
+                     base::time_point Now);
+  void submit(const fleet::configuration_submission &Submission,
+              base::time_point Deadline, submission_handler Handler,
+              base::time_point Now);
+  void announce(fleet::member_state State, base::time_point Now);
+
+  /// Answers of this host to configuration_since and configuration_store.
+  [[nodiscard]] base::json
+  answerConfigurationSince(const base::json &Parameters) const;
+  base::json answerConfigurationStore(const base::json &Parameters,
+                                      base::time_point Now);
+
+  [[nodiscard]] bool isFresh(base::time_point Now) const {
+    return Replica.freshness().isFresh(Now);
+  }
+  [[nodiscard]] const fleet::membership &members() const { return Members; }
+  [[nodiscard]] std::optional<std::string>
+  addressOf(const base::host_id &Host) const;
+  [[nodiscard]] base::json dump(base::time_point Now) const;
+
+private:
+  enum class store_reader { Replica, Editor };
+  struct pending_store {
+    store_reader Reader;
+    std::uint64_t Id;
+  };
+
+  void apply(const fleet::membership_actions &Actions, base::time_point Now);
+  void apply(const fleet::replica_actions &Actions, base::time_point Now);
+  void apply(const fleet::editor_actions &Actions, base::time_point Now);
+  void on(const fleet::send_packet &Action, base::time_point Now);
+  void on(const fleet::member_changed &Action, base::time_point Now);
+  void on(const fleet::peer_evidence &Action, base::time_point Now);
+  void on(const fleet::peer_version &Action, base::time_point Now);
+  void on(const fleet::version_answered &Action, base::time_point Now);
+  void on(const fleet::fetch_configuration &Action, base::time_point Now);
+  void on(const fleet::read_store &Action, base::time_point Now);
+  void on(const fleet::configuration_adopted &Action, base::time_point Now);
+  void on(const fleet::configuration_diverged &Action, base::time_point Now);
+  void on(const fleet::ask_version &Action, base::time_point Now);
+  void on(const fleet::use_store &Action, base::time_point Now);
+  void on(const fleet::store_at_witness &Action, base::time_point Now);
+  void on(const fleet::offer_to_replica &Action, base::time_point Now);
+  void on(const fleet::submission_finished &Action, base::time_point Now);
+  void submitStore(store_reader Reader, std::uint64_t Id,
+                   const base::store_request &Request, base::time_point Now);
+  void updatePeers();
+
+  fleet_outputs &Outputs;
+  base::host_id Self;
+  fleet::membership Members;
+  fleet::configuration_replica Replica;
+  fleet::configuration_editor Editor;
+  std::map<std::uint64_t, pending_store> StoreRequests;
+  std::map<std::string, std::vector<submission_handler>> Submissions;
+  std::uint64_t LastStoreRequest = 0;
+  base::time_point NextTick;
+  /// Time of the latest event, for results that arrive through callbacks.
+  base::time_point LatestNow;
+};
+
+} // namespace radishrelay::daemon
+
+#endif
--- a/packages/daemon/include/radishrelay/daemon/group_runtime.h
+++ b/packages/daemon/include/radishrelay/daemon/group_runtime.h
@@ -58,6 +58,9 @@
   [[nodiscard]] base::time_point nextWake() const;
 
   [[nodiscard]] std::size_t taskCount() const { return Tasks.size(); }
+  /// Connections to all instances, also those that are closing.
+  [[nodiscard]] std::size_t connectionCount() const;
+  [[nodiscard]] std::uint64_t serial() const { return Options.Serial; }
   [[nodiscard]] const groups::group_view &view() const {
     return Failover.view();
   }
--- a/packages/daemon/include/radishrelay/daemon/limits_runtime.h
+++ b/packages/daemon/include/radishrelay/daemon/limits_runtime.h
@@ -24,9 +24,8 @@
   /// Returns false when no answer will come.
   virtual bool submitLimitsRequest(std::uint64_t Id,
                                    const base::store_request &Request) = 0;
-  virtual void
-  sendLimiterMessage(const base::host_id &To,
-                     const accounts::limiter_message &Message) = 0;
+  virtual void sendLimiterMessage(const base::host_id &To,
+                                  const accounts::limiter_message &Message) = 0;
 };
 
 /// Joins the account limiter to the platform and the other hosts.
--- a/packages/daemon/include/radishrelay/daemon/peer_method.h
+++ b/packages/daemon/include/radishrelay/daemon/peer_method.h
@@ -11,16 +11,11 @@
 enum class peer_method {
   ConfigurationSince,
   ConfigurationStore,
-  Suspect,
-  Borrow,
-  GiveBack,
-  HandOver,
   Forward,
 };
 
-inline constexpr std::array<std::string_view, 7> PeerMethodNames{
-    "configuration_since", "configuration_store", "suspect", "borrow",
-    "give_back",           "hand_over",           "forward"};
+inline constexpr std::array<std::string_view, 3> PeerMethodNames{
+    "configuration_since", "configuration_store", "forward"};
 
 constexpr std::string_view methodName(peer_method Method) {
   return PeerMethodNames[static_cast<std::size_t>(Method)];
--- a/packages/daemon/include/radishrelay/daemon/peer_rpc_client.h
+++ b/packages/daemon/include/radishrelay/daemon/peer_rpc_client.h
@@ -21,7 +21,7 @@
   /// Chosen by the sender.
   std::uint64_t Id = 0;
   std::string Address;
-  peer_method Method = peer_method::Suspect;
+  peer_method Method = peer_method::Forward;
   base::json Parameters;
   base::time_point Deadline;
 };
--- a/packages/daemon/include/radishrelay/daemon/relay.h
+++ b/packages/daemon/include/radishrelay/daemon/relay.h
@@ -1,14 +1,20 @@
 #ifndef RADISHRELAY_DAEMON_RELAY_H
 #define RADISHRELAY_DAEMON_RELAY_H
 
+#include "radishrelay/accounts/audit_log.h"
 #include "radishrelay/base/metrics_registry.h"
+#include "radishrelay/daemon/datagram_kind.h"
+#include "radishrelay/daemon/fleet_runtime.h"
 #include "radishrelay/daemon/group_runtime.h"
+#include "radishrelay/daemon/limits_runtime.h"
 #include "radishrelay/daemon/relay_outputs.h"
+#include "radishrelay/fleet/drain.h"
 
 #include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace radishrelay::daemon {
 
@@ -16,19 +22,25 @@
 struct relay_options {
   base::host_id Host;
   base::failure_domain_id FailureDomain;
-  /// Distinguishes restarts of the host.
-  std::string Incarnation;
+  /// Distinguishes restarts of the host; grows with each start.
+  std::uint64_t Incarnation = 0;
+  /// "IP:PORT" at which the other hosts reach this one.
+  std::string PeerAddress;
+  std::vector<std::string> JoinAddresses;
   std::size_t MaxRequestsInFlight = 4096;
   base::duration PlatformTimeout = std::chrono::seconds(1);
+  fleet::drain_options Drain;
   std::uint64_t Seed = 1;
 };
 
 /// Joins all decisions of a host. Takes events, sends actions to its outputs,
-/// and holds no clock, thread or socket. Used by the decision thread only.
-class relay : private group_outputs {
+/// and holds no thread or socket. Used by the decision thread only.
+class relay : private group_outputs,
+              private limits_outputs,
+              private fleet_outputs {
 public:
-  relay(relay_options Options, relay_outputs &Outputs,
-        base::metrics_registry &Metrics);
+  relay(const relay_options &Options, relay_outputs &Outputs,
+        base::metrics_registry &Metrics, base::time_point StartedAt);
 
   void handle(relay_event &&Event, base::time_point Now);
 
@@ -51,11 +63,40 @@
   void on(operator_request_received &&Event);
   void on(stop_requested &&Event);
 
-  void adopt(const fleet::configuration_pointer &Document);
-  void updateGroups(const fleet::configuration_document &Document);
-  void refuse(const caller_request &Request, problem Problem);
+  // Requests.
+  std::optional<problem> checkRequest(const caller_request &Request) const;
+  bool isKeyInForce(const accounts::verified_key &Key) const;
   bool decodeSession(request_task &Task);
-  void countRefusal(const base::account_id &Account, problem_code Code);
+  void route(const request_task_ptr &Task);
+  void refuse(const caller_request &Request, const problem &Problem);
+  void count(const base::account_id &Account, accounts::audit_outcome Outcome);
+
+  // Groups.
+  void updateGroups(const fleet::configuration_document &Document);
+  void addGroup(const fleet::database_group &Group);
+  void retire(const base::group_id &Group);
+  void removeRetired();
+  void updateQuotas();
+  void updateLeaving();
+  [[nodiscard]] std::uint32_t quotaOf(const fleet::database_group &Group) const;
+
+  // Operators.
+  void submitPatch(reply_id Reply, const operator_request &Request);
+  void readHistory(reply_id Reply);
+  void finishHistory(reply_id Reply, const base::store_answer &Answer);
+  [[nodiscard]] operator_reply simpleReply(operator_action Action) const;
+  [[nodiscard]] bool isReady() const;
+  void reportReady();
+
+  // Drain.
+  void advanceDrain();
+  void apply(const fleet::drain_actions &Actions);
+  void on(const fleet::turn_readiness_off &Action);
+  void on(const fleet::refuse_new_work &Action);
+  void on(const fleet::give_back_loans &Action);
+  void on(const fleet::hand_over_shares &Action);
+  void on(const fleet::cut_running_work &Action);
+  void on(const fleet::stop_process &Action);
 
   // group_outputs
   void finishTask(request_task &Task, http_answer &&Answer) override;
@@ -67,8 +108,32 @@
   void log(base::log_level Level, std::string_view Event,
            const base::json &Fields) override;
 
+  // limits_outputs
+  [[nodiscard]] base::time_point clock() const override;
+  void onAdmission(accounts::request_number Request,
+                   const accounts::admission &Admission) override;
+  bool submitLimitsRequest(std::uint64_t Id,
+                           const base::store_request &Request) override;
+  void sendLimiterMessage(const base::host_id &To,
+                          const accounts::limiter_message &Message) override;
+
+  // fleet_outputs
+  void sendMembershipPacket(const std::string &Address,
+                            const std::string &Packet) override;
+  bool submitConfigurationRequest(std::uint64_t Id,
+                                  const base::store_request &Request) override;
+  void callPeerAt(const std::string &Address, peer_method Method,
+                  base::json &&Parameters,
+                  peer_result_handler &&Handler) override;
+  void onConfiguration(
+      const std::shared_ptr<const fleet::configuration_index> &Index) override;
+  void onMembersChanged() override;
+  void logFleet(base::log_level Level, std::string_view Event,
+                const base::json &Fields) override;
+
   struct group_entry {
     fleet::database_group Definition;
+    std::uint64_t Serial = 0;
     std::unique_ptr<group_runtime> Runtime;
   };
 
@@ -77,16 +142,29 @@
   base::metrics_registry &Metrics;
   base::time_point Now;
   service_view_ptr View;
+  fleet_runtime Fleet;
+  limits_runtime Limits;
+  fleet::drain Drain;
+  accounts::audit_log Audit;
   std::map<base::group_id, group_entry> Groups;
+  /// Former definitions of groups, kept until their requests have ended.
+  std::vector<group_entry> Retired;
   std::map<std::uint64_t, group_runtime *> GroupsBySerial;
   std::unordered_map<caller_connection_id, request_task_ptr> TasksByCaller;
-  std::map<std::uint64_t, std::pair<group_runtime *, groups::store_call_id>>
+  /// Tasks for which the account limiter has not decided yet.
+  std::unordered_map<task_id, request_task_ptr> AwaitingAdmission;
+  std::map<std::uint64_t, std::pair<std::uint64_t, groups::store_call_id>>
       StoreCalls;
+  std::map<std::uint64_t, peer_result_handler> PeerCalls;
+  std::map<std::uint64_t, reply_id> HistoryReads;
   backend::run_id LastRun = 0;
   task_id LastTask = 0;
   std::uint64_t LastStoreCall = 0;
+  std::uint64_t LastPeerCall = 0;
   std::uint64_t LastGroupSerial = 0;
-  base::time_point NextConfigurationRead;
+  base::time_point NextHostListRead;
+  bool HeldSlot = false;
+  bool ReportedReady = false;
 };
 
 } // namespace radishrelay::daemon
--- a/packages/daemon/include/radishrelay/daemon/relay_event.h
+++ b/packages/daemon/include/radishrelay/daemon/relay_event.h
@@ -31,7 +31,7 @@
 /// A peer calls a procedure; answered through relay_outputs::replyToPeer.
 struct peer_call_received {
   reply_id Reply = 0;
-  peer_method Method = peer_method::Suspect;
+  peer_method Method = peer_method::Forward;
   base::json Parameters;
 };
 
--- a/packages/daemon/include/radishrelay/daemon/relay_outputs.h
+++ b/packages/daemon/include/radishrelay/daemon/relay_outputs.h
@@ -16,6 +16,9 @@
 public:
   virtual ~relay_outputs() = default;
 
+  /// Reads the clock.
+  [[nodiscard]] virtual base::time_point clock() const = 0;
+
   virtual void answerCaller(http_answer &&Answer) = 0;
   /// Returns false when the backend thread takes no more commands.
   virtual bool submitToBackend(backend::backend_command &&Command) = 0;
--- a/packages/daemon/include/radishrelay/daemon/request_task.h
+++ b/packages/daemon/include/radishrelay/daemon/request_task.h
@@ -3,8 +3,8 @@
 
 #include "radishrelay/daemon/caller_request.h"
 #include "radishrelay/groups/connection_number.h"
-#include "radishrelay/groups/keyed_write.h"
 #include "radishrelay/groups/instance_status.h"
+#include "radishrelay/groups/keyed_write.h"
 #include "radishrelay/groups/read_request.h"
 #include "radishrelay/groups/session_state.h"
 
--- a/packages/daemon/src/daemon_process.cpp
+++ b/packages/daemon/src/daemon_process.cpp
@@ -15,6 +15,9 @@
 #include "radishrelay/daemon/request_reader.h"
 #include "radishrelay/daemon/server_sockets.h"
 
+#include <Poco/StringTokenizer.h>
+#include <Poco/Timestamp.h>
+
 #include <atomic>
 #include <future>
 
@@ -25,19 +28,29 @@
 constexpr std::size_t EventRingSize = 131072;
 constexpr base::duration ReplyTimeout = std::chrono::seconds(5);
 constexpr base::duration CloseTimeout = std::chrono::seconds(5);
-constexpr std::size_t IncarnationBytes = 8;
 
 relay_options relayOptions(const daemon_settings &Settings) {
   relay_options Options;
   Options.Host = base::host_id(Settings.HostId);
   Options.FailureDomain = base::failure_domain_id(Settings.FailureDomain);
+  // The start time grows with each start; membership and leases rely on it.
   Options.Incarnation =
-      base::encodeHex(base::secureRandomBytes(IncarnationBytes));
+      static_cast<std::uint64_t>(Poco::Timestamp().epochMicroseconds());
+  Options.PeerAddress = Settings.PeersAddress;
+  Poco::StringTokenizer Join(Settings.PeersJoin, ",",
+                             Poco::StringTokenizer::TOK_TRIM |
+                                 Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+  Options.JoinAddresses.assign(Join.begin(), Join.end());
+  Options.Drain.BalancerWait =
+      std::chrono::milliseconds(Settings.BalancerWaitMilliseconds);
+  Options.Drain.WorkTimeout =
+      std::chrono::milliseconds(Settings.DrainTimeoutMilliseconds);
   Options.MaxRequestsInFlight =
       static_cast<std::size_t>(Settings.MaxRequestsInFlight);
   Options.PlatformTimeout =
       std::chrono::milliseconds(Settings.PlatformTimeoutMilliseconds);
-  Options.Seed = base::stableHash(Settings.HostId + Options.Incarnation);
+  Options.Seed =
+      base::stableHash(Settings.HostId + std::to_string(Options.Incarnation));
   return Options;
 }
 
@@ -46,7 +59,8 @@
 struct daemon_process::implementation : relay_outputs {
   explicit implementation(const daemon_settings &Settings)
       : Settings(Settings), Seal(Settings.PeersSecret),
-        Relay(relayOptions(Settings), *this, Metrics),
+        Relay(relayOptions(Settings), *this, Metrics,
+              base::monotonic_clock::now()),
         Backend({}, [this](auto &&Event) { push(std::move(Event)); }),
         Platform(Settings.PlatformAddress,
                  [this](auto &&Event) { push(std::move(Event)); }),
@@ -143,6 +157,9 @@
   }
 
   // relay_outputs
+  [[nodiscard]] base::time_point clock() const override {
+    return base::monotonic_clock::now();
+  }
   void answerCaller(http_answer &&Answer) override {
     Callers.sendAnswer(std::move(Answer));
   }
--- a/packages/daemon/src/group_runtime.cpp
+++ b/packages/daemon/src/group_runtime.cpp
@@ -195,6 +195,13 @@
   settle(Now);
 }
 
+std::size_t group_runtime::connectionCount() const {
+  std::size_t Count = 0;
+  for (const std::unique_ptr<instance_state> &Instance : Instances)
+    Count += Instance->Link.connectionCount();
+  return Count;
+}
+
 void group_runtime::tick(base::time_point Now) {
   for (std::size_t Index = 0; Index < Instances.size(); ++Index) {
     instance_state &Instance = *Instances[Index];
--- a/packages/daemon/src/peer_rpc_server.cpp
+++ b/packages/daemon/src/peer_rpc_server.cpp
@@ -41,10 +41,6 @@
          &rpc_procedures::call<peer_method::ConfigurationSince>);
     bind(peer_method::ConfigurationStore,
          &rpc_procedures::call<peer_method::ConfigurationStore>);
-    bind(peer_method::Suspect, &rpc_procedures::call<peer_method::Suspect>);
-    bind(peer_method::Borrow, &rpc_procedures::call<peer_method::Borrow>);
-    bind(peer_method::GiveBack, &rpc_procedures::call<peer_method::GiveBack>);
-    bind(peer_method::HandOver, &rpc_procedures::call<peer_method::HandOver>);
     bind(peer_method::Forward, &rpc_procedures::call<peer_method::Forward>);
   }
 
--- a/packages/daemon/src/relay.cpp
+++ b/packages/daemon/src/relay.cpp
@@ -10,28 +10,50 @@
 
 namespace {
 
-constexpr base::duration ConfigurationReadInterval =
-    std::chrono::milliseconds(500);
-/// Connections that stay free for the operators of a backend server.
-constexpr std::int64_t ReservedConnections = 2;
-constexpr std::uint64_t ConfigurationReadId = 0;
+constexpr base::duration HostListInterval = std::chrono::seconds(2);
+constexpr std::int64_t MicrosecondsPerMillisecond = 1000;
+constexpr std::int64_t MicrosecondsPerMinute = 60'000'000;
 
-std::uint32_t quotaOf(const fleet::configuration_document &Document,
-                      const fleet::database_group &Group) {
-  std::int64_t Quota =
-      (Group.Connections - ReservedConnections) / Document.SlotCount;
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(Quota, 0));
+fleet::member_update selfAsMember(const relay_options &Options) {
+  return {Options.Host, Options.FailureDomain, Options.PeerAddress,
+          Options.Incarnation, fleet::member_state::Live};
 }
 
-std::string codeLabel(const http_answer &Answer) {
-  return std::to_string(Answer.Status);
+std::int64_t secondsUntil(base::time_point Time, base::time_point Now) {
+  auto Left = std::chrono::ceil<std::chrono::seconds>(Time - Now);
+  return std::max<std::int64_t>(1, Left.count());
+}
+
+accounts::audit_outcome auditOutcome(problem_code Code) {
+  switch (Code) {
+  case problem_code::RateExceeded:
+    return accounts::audit_outcome::RateExceeded;
+  case problem_code::KeyInvalid:
+    return accounts::audit_outcome::KeyInvalid;
+  case problem_code::RouteForbidden:
+    return accounts::audit_outcome::RouteForbidden;
+  case problem_code::ConfigurationStale:
+    return accounts::audit_outcome::ConfigurationStale;
+  case problem_code::QueueDeadline:
+    return accounts::audit_outcome::QueueDeadline;
+  case problem_code::Draining:
+    return accounts::audit_outcome::Draining;
+  default:
+    return accounts::audit_outcome::OtherRefusal;
+  }
 }
 
 } // namespace
 
-relay::relay(relay_options Options, relay_outputs &Outputs,
-             base::metrics_registry &Metrics)
-    : Options(std::move(Options)), Outputs(Outputs), Metrics(Metrics) {}
+relay::relay(const relay_options &Options, relay_outputs &Outputs,
+             base::metrics_registry &Metrics, base::time_point StartedAt)
+    : Options(Options), Outputs(Outputs), Metrics(Metrics), Now(StartedAt),
+      Fleet(selfAsMember(Options), Options.Seed, Options.JoinAddresses,
+            StartedAt, *this),
+      Limits({Options.Host, Options.FailureDomain, Options.Incarnation}, *this),
+      Drain(Options.Drain) {
+  onMembersChanged();
+}
 
 void relay::handle(relay_event &&Event, base::time_point Time) {
   Now = Time;
@@ -41,46 +63,113 @@
 
 void relay::tick(base::time_point Time) {
   Now = Time;
-  if (Now >= NextConfigurationRead) {
-    NextConfigurationRead = Now + ConfigurationReadInterval;
-    Outputs.submitToPlatform(
-        {platform_duty::Configuration, ConfigurationReadId,
-         base::store_request(base::read_row{{"configuration", "current"}}),
-         Now + Options.PlatformTimeout});
+  Fleet.tick(Now);
+  Limits.tick(Now);
+  if (Now >= NextHostListRead) {
+    NextHostListRead = Now + HostListInterval;
+    Outputs.submitToPlatform({platform_duty::Hosts, 0, read_host_list{},
+                              Now + Options.PlatformTimeout});
   }
+  if (HeldSlot != Limits.holdsSlot(Now))
+    updateQuotas();
   for (auto &[Id, Group] : Groups)
-    Group.Runtime->tick(Now);
+    if (Group.Runtime->nextWake() <= Now)
+      Group.Runtime->tick(Now);
+  removeRetired();
+  reportReady();
+  advanceDrain();
 }
 
 base::time_point relay::nextWake() const {
-  base::time_point Wake = NextConfigurationRead;
+  base::time_point Wake = std::min(Fleet.nextWake(), Limits.nextWake());
   for (const auto &[Id, Group] : Groups)
     Wake = std::min(Wake, Group.Runtime->nextWake());
   return Wake;
 }
 
+std::optional<problem>
+relay::checkRequest(const caller_request &Request) const {
+  auto Refusal = [](problem_code Code, std::string Detail, std::int64_t Retry) {
+    return problem{
+        Code, groups::ran_state::No, std::move(Detail), "admit request", "",
+        Retry};
+  };
+  bool IsKeyed = Request.Key && !(Request.Route && Request.Route->Open);
+  if (!Drain.acceptsWork())
+    return Refusal(problem_code::Draining, "the host is shutting down", 1);
+  if (IsKeyed && !Fleet.isFresh(Now))
+    return Refusal(problem_code::ConfigurationStale,
+                   "no recent contact with the store or the witnesses", 1);
+  if (Request.Key && !isKeyInForce(*Request.Key))
+    return Refusal(problem_code::KeyInvalid, "unknown or withdrawn key", 0);
+  if (TasksByCaller.size() >= Options.MaxRequestsInFlight)
+    return Refusal(problem_code::Overloaded, "too many requests in flight", 1);
+  if (!Groups.count(Request.Group))
+    return Refusal(problem_code::RouteUnknown, "the route's group is gone", 0);
+  return std::nullopt;
+}
+
+bool relay::isKeyInForce(const accounts::verified_key &Key) const {
+  // The listener may have verified the key against an older configuration.
+  fleet::configuration_index::key_entry Entry =
+      View->Configuration.findKey(Key.KeyId);
+  return Entry.Account && Entry.Account->Id == Key.Account;
+}
+
 void relay::on(caller_request &&Request) {
-  if (TasksByCaller.size() >= Options.MaxRequestsInFlight) {
-    refuse(Request, {problem_code::Overloaded, groups::ran_state::No,
-                     "too many requests in flight", "admit request", "", 1});
-    return;
-  }
-  auto Group = Groups.find(Request.Group);
-  if (Group == Groups.end()) {
-    refuse(Request, {problem_code::RouteUnknown, groups::ran_state::No,
-                     "the route's group is gone", "admit request", "", 0});
+  if (std::optional<problem> Problem = checkRequest(Request)) {
+    refuse(Request, *Problem);
     return;
   }
   request_task_ptr Task(new request_task(++LastTask, std::move(Request)));
   if (!decodeSession(*Task))
     return;
   TasksByCaller[Task->Request.Connection] = Task;
+  if (!Task->Request.Key) {
+    route(Task);
+    return;
+  }
+  AwaitingAdmission[Task->Id] = Task;
+  Limits.admit(Task->Id, Task->Request.account(), Task->Request.Deadline, Now);
+}
+
+void relay::onAdmission(accounts::request_number Request,
+                        const accounts::admission &Admission) {
+  auto Found = AwaitingAdmission.extract(Request);
+  if (!Found)
+    return;
+  request_task_ptr Task = std::move(Found.mapped());
+  const auto *Admitted = std::get_if<accounts::admitted>(&Admission);
+  if (Admitted && clock() <= Admitted->ValidUntil) {
+    count(Task->Request.account(), accounts::audit_outcome::Admitted);
+    route(Task);
+    return;
+  }
+  std::int64_t Retry = 1;
+  if (const auto *Refused = std::get_if<accounts::refused>(&Admission))
+    Retry = secondsUntil(Refused->RetryAt, Now);
+  TasksByCaller.erase(Task->Request.Connection);
+  refuse(Task->Request, {problem_code::RateExceeded, groups::ran_state::No,
+                         "the rate and burst of the client account are used up",
+                         "admit request", "", Retry});
+}
+
+void relay::route(const request_task_ptr &Task) {
+  auto Group = Groups.find(Task->Request.Group);
+  if (Group == Groups.end()) {
+    TasksByCaller.erase(Task->Request.Connection);
+    refuse(Task->Request,
+           {problem_code::RouteUnknown, groups::ran_state::No,
+            "the route's group is gone", "admit request", "", 0});
+    return;
+  }
   Group->second.Runtime->submit(Task, Now);
 }
 
 bool relay::decodeSession(request_task &Task) {
   Task.Session.Account = Task.Request.account();
-  Task.Session.IssuedAtMs = Poco::Timestamp().epochMicroseconds() / 1000;
+  Task.Session.IssuedAtMs =
+      Poco::Timestamp().epochMicroseconds() / MicrosecondsPerMillisecond;
   if (!Task.Request.Session.empty()) {
     auto Session = Task.Request.View->Sessions.decode(Task.Request.Session,
                                                       Task.Request.account());
@@ -92,11 +181,13 @@
     }
     Task.Session = std::move(*Session);
   }
-  const fleet::route &Route = *Task.Request.Route;
   Task.Read.Deadline = Task.Request.Deadline;
   Task.Read.Required = Task.Session.requirementFor(Task.Request.Group);
-  if (Route.MaxAge)
-    Task.Read.MaxAge = *Route.MaxAge;
+  const fleet::route *Route = Task.Request.Route;
+  // A route that accepts no age is served by a primary that a majority
+  // confirms after the read.
+  if (Route && Route->MaxAge)
+    Task.Read.MaxAge = *Route->MaxAge;
   else
     Task.Read.Required.NeedsConfirmedPrimary = true;
   return true;
@@ -107,7 +198,13 @@
   if (Found == TasksByCaller.end())
     return;
   request_task_ptr Task = Found->second;
-  Groups.at(Task->Request.Group).Runtime->cancel(*Task, Now);
+  if (AwaitingAdmission.erase(Task->Id)) {
+    TasksByCaller.erase(Found);
+    return;
+  }
+  auto Group = Groups.find(Task->Request.Group);
+  if (Group != Groups.end())
+    Group->second.Runtime->cancel(*Task, Now);
 }
 
 void relay::on(backend::backend_event &&Event) {
@@ -119,131 +216,61 @@
 }
 
 void relay::on(platform_event &&Event) {
-  auto *Finished = std::get_if<store_finished>(&Event);
-  if (!Finished)
-    return;
-  if (Finished->Duty == platform_duty::Configuration) {
-    const base::store_answer &Answer = Finished->Answer;
-    if (Answer.Outcome != base::store_outcome::Done || Answer.Rows.empty())
-      return;
-    auto Document = fleet::parseConfiguration(Answer.Rows[0].Value);
-    if (!Document)
-      return;
-    if (!View || Document->Version > View->Configuration.version())
-      adopt(std::make_shared<const fleet::configuration_document>(
-          std::move(*Document)));
-    return;
-  }
-  auto Call = StoreCalls.extract(Finished->Id);
-  if (!Call)
-    return;
-  auto [Group, Id] = Call.mapped();
-  Group->onStore({Id, std::move(Finished->Answer)}, Now);
-}
-
-void relay::on(datagram_received &&) {}
-
-void relay::on(peer_call_received &&Event) {
-  Outputs.replyToPeer(Event.Reply, base::json::object());
-}
-
-void relay::on(peer_call_finished &&) {}
-
-void relay::on(operator_request_received &&Event) {
-  operator_reply Reply;
-  Reply.Body = dump().dump(2) + "\n";
-  Outputs.replyToOperator(Event.Reply, std::move(Reply));
-}
-
-void relay::on(stop_requested &&) { Outputs.finished(); }
-
-void relay::adopt(const fleet::configuration_pointer &Document) {
-  auto Next = makeServiceView(Document);
-  if (!Next) {
-    Outputs.log(base::log_level::Error, "configuration not usable",
-                base::logFields(Next.error()));
+  if (auto *List = std::get_if<host_list_read>(&Event)) {
+    Fleet.onListedHosts(List->Hosts, Now);
+    updateLeaving();
     return;
   }
-  View = *Next;
-  updateGroups(*Document);
-  Outputs.publishView(View);
-  base::json Fields = base::json::object();
-  Fields["version"] = Document->Version;
-  Outputs.log(base::log_level::Info, "configuration adopted", Fields);
-  Outputs.log(base::log_level::Info, "ready", Fields);
-}
-
-void relay::updateGroups(const fleet::configuration_document &Document) {
-  for (const fleet::database_group &Group : Document.Groups) {
-    auto Known = Groups.find(Group.Id);
-    std::uint32_t Quota = quotaOf(Document, Group);
-    if (Known != Groups.end() && Known->second.Definition == Group)
-      continue;
-    if (Known != Groups.end())
-      continue;
-    group_runtime_options Settings{Group,
-                                   Options.Host,
-                                   Options.FailureDomain,
-                                   Options.Incarnation,
-                                   Quota,
-                                   ++LastGroupSerial,
-                                   Options.Seed + LastGroupSerial};
-    auto Runtime = std::make_unique<group_runtime>(
-        Settings, static_cast<group_outputs &>(*this));
-    GroupsBySerial[LastGroupSerial] = Runtime.get();
-    Runtime->tick(Now);
-    Groups[Group.Id] = {Group, std::move(Runtime)};
+  auto &Finished = std::get<store_finished>(Event);
+  if (auto History = HistoryReads.extract(Finished.Id)) {
+    finishHistory(History.mapped(), Finished.Answer);
+  } else if (Finished.Duty == platform_duty::Configuration) {
+    Fleet.onStore(Finished.Id, Finished.Answer, Now);
+  } else if (Finished.Duty == platform_duty::Limits) {
+    Limits.onStore(Finished.Id, Finished.Answer, Now);
+  } else if (auto Call = StoreCalls.extract(Finished.Id)) {
+    auto [Serial, Id] = Call.mapped();
+    auto Group = GroupsBySerial.find(Serial);
+    if (Group != GroupsBySerial.end())
+      Group->second->onStore({Id, std::move(Finished.Answer)}, Now);
   }
 }
 
-void relay::refuse(const caller_request &Request, problem Problem) {
-  countRefusal(Request.account(), Problem.Code);
+void relay::refuse(const caller_request &Request, const problem &Problem) {
+  count(Request.account(), auditOutcome(Problem.Code));
+  Metrics.increment({"radishrelay_requests_refused_total", "code",
+                     std::string(codeName(Problem.Code))});
   Outputs.answerCaller(problemAnswer(Request.Connection, Problem));
 }
 
-void relay::countRefusal(const base::account_id &Account, problem_code Code) {
-  (void)Account;
-  Metrics.increment({"radishrelay_requests_refused_total", "code",
-                     std::string(codeName(Code))});
+void relay::count(const base::account_id &Account,
+                  accounts::audit_outcome Outcome) {
+  if (!Account.empty())
+    Audit.count(Account, Outcome,
+                Poco::Timestamp().epochMicroseconds() / MicrosecondsPerMinute);
 }
 
 void relay::finishTask(request_task &Task, http_answer &&Answer) {
   Answer.Connection = Task.Request.Connection;
   Metrics.increment(
-      {"radishrelay_requests_total", "status", codeLabel(Answer)});
+      {"radishrelay_requests_total", "status", std::to_string(Answer.Status)});
   Metrics.observe({"radishrelay_request_seconds"},
                   Now - Task.Request.ReceivedAt);
   TasksByCaller.erase(Task.Request.Connection);
   Outputs.answerCaller(std::move(Answer));
 }
 
-bool relay::submitToBackend(backend::backend_command &&Command) {
-  return Outputs.submitToBackend(std::move(Command));
-}
-
-void relay::submitToStore(group_runtime &Group,
-                          const groups::store_call &Call) {
-  std::uint64_t Id = ++LastStoreCall;
-  StoreCalls.emplace(Id, std::pair(&Group, Call.Id));
-  Outputs.submitToPlatform(
-      {platform_duty::Groups, Id, Call.Request, Call.Deadline});
-}
-
-void relay::sendSuspicion(const groups::suspicion &Suspicion) {
-  (void)Suspicion;
-}
-
-void relay::log(base::log_level Level, std::string_view Event,
-                const base::json &Fields) {
-  Outputs.log(Level, Event, Fields);
-}
-
 base::json relay::dump() const {
   base::json Dump = base::json::object();
   Dump["host"] = Options.Host.str();
+  Dump["failure_domain"] = Options.FailureDomain.str();
   Dump["incarnation"] = Options.Incarnation;
   Dump["configuration_version"] = View ? View->Configuration.version() : 0;
   Dump["requests_in_flight"] = TasksByCaller.size();
+  Dump["awaiting_admission"] = AwaitingAdmission.size();
+  Dump["drain"] = Drain.dump();
+  Dump["fleet"] = Fleet.dump(Now);
+  Dump["limits"] = Limits.dump();
   Dump["groups"] = base::json::array();
   for (const auto &[Id, Group] : Groups)
     Dump["groups"].push_back(Group.Runtime->dump());
--- a/sessions/deployment.cpp
+++ b/sessions/deployment.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Thread.h>
 
 #include <unistd.h>
 
@@ -105,6 +106,27 @@
     startHost(Host);
   for (const std::string &Host : HostNames)
     Hosts.at(Host)->awaitLine("ready");
+  for (const std::string &Host : HostNames)
+    for (const auto &[Account, Key] : Keys)
+      awaitTokens(Host, Key);
+}
+
+void deployment::awaitTokens(const std::string &Host, const std::string &Key) {
+  // A fleet that starts as a whole has no tokens at first, since an earlier
+  // one may have handed out the same shares.
+  constexpr int MaxAttempts = 300;
+  constexpr int IntervalMilliseconds = 100;
+  for (int Attempt = 0; Attempt < MaxAttempts; ++Attempt) {
+    exchange_answer Answer = exchange({callers(Host),
+                                       "POST",
+                                       "/v1/routes/browse-permits",
+                                       {{"Authorization", "Bearer " + Key}},
+                                       "{}"});
+    if (Answer.Status == 200)
+      return;
+    Poco::Thread::sleep(IntervalMilliseconds);
+  }
+  throw std::runtime_error("no tokens at host " + Host);
 }
 
 deployment::~deployment() = default;
@@ -194,17 +216,14 @@
 }
 
 void deployment::seedConfiguration() {
-  base::json Write = base::json::object();
-  Write["table"] = "configuration";
-  Write["key"] = "current";
-  Write["value"] = configuration();
-  base::json Transaction = base::json::object();
-  Transaction["reads"] = base::json::array();
-  Transaction["writes"] = base::json::array({Write});
-  exchange_answer Answer = exchange(
-      {PlatformAddress, "POST", "/transactions", {}, Transaction.dump()});
-  if (Answer.Status != 200)
-    throw std::runtime_error("cannot seed the configuration: " + Answer.Body);
+  std::string File = path("configuration.json");
+  std::ofstream(File) << configuration().dump(2);
+  test_process Init(
+      RADISHRELAY_COMMAND_PROGRAM,
+      {"config", "init", "--platform", PlatformAddress, "--file", File},
+      json_stream::Output);
+  if (Init.wait() != 0)
+    throw std::runtime_error("cannot store the configuration");
 }
 
 void deployment::writeSettings(const std::string &Host) {
--- a/sessions/deployment.h
+++ b/sessions/deployment.h
@@ -53,6 +53,7 @@
     std::uint16_t Peers = 0;
   };
 
+  void awaitTokens(const std::string &Host, const std::string &Key);
   void startStandIns();
   void makeSecrets();
   void seedConfiguration();
--- a/sessions/session_script.cpp
+++ b/sessions/session_script.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Bounds a wait for a condition that must come; not a timing assertion.
-constexpr int MaxAttempts = 400;
+constexpr int MaxAttempts = 120;
 constexpr int AttemptIntervalMilliseconds = 50;
 
 /// Splits a line at spaces; a word that starts with '{' or '[' takes the rest.
