--- a/packages/cli/src/control_server.cpp
+++ b/packages/cli/src/control_server.cpp
@@ -34,7 +34,11 @@
         Request.getMethod() == "POST" && Request.getURI() == "/stand-in/faults";
     bool IsReport =
         Request.getMethod() == "GET" && Request.getURI() == "/stand-in/report";
-    if (IsFault)
+    bool IsRecorded = Request.getMethod() == "GET" &&
+                      Request.getURI() == "/stand-in/recorded";
+    if (IsRecorded)
+      sendText(Response, http_status::HTTP_OK, recordedBytes());
+    else if (IsFault)
       handleFault(Request, Response);
     else if (IsReport)
       sendText(Response, http_status::HTTP_OK, reportJson(Group).dump() + "\n");
@@ -43,6 +47,13 @@
   }
 
 private:
+  [[nodiscard]] std::string recordedBytes() const {
+    std::string Bytes;
+    for (std::size_t Index = 0; Index < Group.size(); ++Index)
+      Bytes += Group.recordedBytes(Index);
+    return Bytes;
+  }
+
   void handleFault(Poco::Net::HTTPServerRequest &Request,
                    Poco::Net::HTTPServerResponse &Response) {
     std::string Body;
--- a/packages/cli/src/control_server.h
+++ b/packages/cli/src/control_server.h
@@ -10,7 +10,7 @@
 
 /// HTTP control of a stand-in database group on 127.0.0.1:
 /// POST /stand-in/faults injects a fault, GET /stand-in/report shows the
-/// instances.
+/// instances, GET /stand-in/recorded returns the bytes that they received.
 class control_server {
 public:
   /// Port 0 lets the kernel choose.
--- a/sessions/deployment.cpp
+++ b/sessions/deployment.cpp
@@ -159,8 +159,8 @@
     Key["digest"] = base::encodeBase64Url(base::hmacSha256(Salt, Secret));
     base::json Account = base::json::object();
     Account["id"] = Name;
-    Account["rate_per_second"] = Name == "installers" ? 1000 : 10;
-    Account["burst"] = Name == "installers" ? 2000 : 20;
+    Account["rate_per_second"] = Name == "installers" ? 1000 : 200;
+    Account["burst"] = Name == "installers" ? 2000 : 400;
     Account["keys"] = base::json::array({Key});
     Accounts.push_back(Account);
     Keys[Name] = "rr_k-" + Name + "_" + Secret;
@@ -288,6 +288,10 @@
     throw std::runtime_error("fault refused: " + Answer.Body);
 }
 
+std::string deployment::receivedByDatabase() const {
+  return exchange({ControlAddress, "GET", "/stand-in/recorded", {}, ""}).Body;
+}
+
 base::json deployment::report() const {
   exchange_answer Answer =
       exchange({ControlAddress, "GET", "/stand-in/report", {}, ""});
--- a/sessions/deployment.h
+++ b/sessions/deployment.h
@@ -43,6 +43,8 @@
   void setPlatformFault(const std::string &Mode);
   void injectFault(std::size_t Instance, const std::string &Fault,
                    std::uint64_t Milliseconds);
+  /// All bytes that the instances received.
+  [[nodiscard]] std::string receivedByDatabase() const;
   /// Report of the stand-in database group.
   [[nodiscard]] base::json report() const;
 
--- a/sessions/session_script.cpp
+++ b/sessions/session_script.cpp
@@ -78,6 +78,8 @@
   const std::string &Command = Words[0];
   if (Command == "until")
     runRequest(Words, 2, false, std::stoi(Words.at(1)));
+  else if (Command == "until-operator")
+    runRequest(Words, 2, true, std::stoi(Words.at(1)));
   else if (Command == "operator")
     runRequest(Words, 1, true, 0);
   else if (Command == "fault")
--- a/sessions/session_script.h
+++ b/sessions/session_script.h
@@ -16,6 +16,7 @@
 ///   HOST METHOD PATH [NAME=VALUE...] [BODY]
 ///   until STATUS HOST METHOD ... repeats the request until it has the status
 ///   operator HOST METHOD PATH [NAME=VALUE...] [BODY]
+///   until-operator STATUS HOST METHOD ...
 ///   fault INSTANCE NAME [MS]     a fault of the stand-in database group
 ///   platform MODE                a fault of the stand-in platform
 ///   signal HOST KILL|STOP|CONT|TERM
--- a/sessions/sessions_test.cpp
+++ b/sessions/sessions_test.cpp
@@ -50,4 +50,25 @@
   BOOST_TEST(Transcript == readFile(Golden));
 }
 
+BOOST_AUTO_TEST_CASE(leave_no_key_or_token_outside_the_caller_listener) {
+  deployment Deployment;
+  session_script Script(Deployment);
+  Script.run("h1 POST /v1/routes/file-permit key=installers session=s "
+             "idempotency=i {\"parameters\":{\"address\":\"1 Elm St\"}}\n"
+             "h2 POST /v1/routes/permit-status key=installers session=s "
+             "{\"parameters\":{\"address\":\"1 Elm St\"}}\n"
+             "h2 POST /v1/routes/file-permit key=wrong {}\n");
+  std::string State = Script.run("operator h1 GET /v1/state\n");
+  std::string Received = Deployment.receivedByDatabase();
+  BOOST_TEST(Received.find("1 Elm St") != std::string::npos);
+  for (const std::string Secret :
+       {"secret-of-installers", "rr_k-installers", "guess"}) {
+    BOOST_TEST(Received.find(Secret) == std::string::npos, Secret);
+    BOOST_TEST(State.find(Secret) == std::string::npos, Secret);
+    for (const std::string Host : {"h1", "h2", "h3"})
+      BOOST_TEST(Deployment.hostLog(Host).find(Secret) == std::string::npos,
+                 Secret);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
