Add the load tool with checks of the promises

The promises of the design could only be checked by single requests; there was no open-loop load against running daemons.

"radishrelay load" sends seeded Poisson arrivals of client accounts, lets sessions roam between hosts, starts local deployments from two profiles, runs fault steps and checks every answer and the rows at the end. Each checker has a test with a history that breaks exactly its promise. These tests found that the check of rates compared window starts after the window's end.

--- a/packages/cli/src/command.cpp
+++ b/packages/cli/src/command.cpp
@@ -1,5 +1,6 @@
 #include "radishrelay/cli/command.h"
 
+#include "load_command.h"
 #include "operator_commands.h"
 #include "secret_commands.h"
 #include "stand_in_commands.h"
@@ -50,6 +51,7 @@
       {"metrics", "print a host's metrics", runMetrics},
       {"key new", "make a key for a client account", runKeyNew},
       {"token new", "make a token for an operator", runTokenNew},
+      {"load", "send load to hosts and check their promises", runLoad},
       {"stand-in platform", "run a small stand-in of the platform",
        runStandInPlatform},
       {"stand-in database", "run a small stand-in of a database group",
