Run transactions through the daemon

Cause: the relay handled only requests on routes; opening, committing and rolling back a transaction, and a route with a transaction handle, reached code that expects a route.

Change: transaction_runtime joins the transaction table to the connections of group_runtime, which holds a work connection of the primary from BEGIN to the end. request_forwarder passes requests to the transaction's host by JSON-RPC; until the membership names addresses, such requests get transaction_lost. A commit is acknowledged through the write tracker before its answer, also when it is repeated.

--- a/packages/daemon/include/radishrelay/daemon/caller_request.h
+++ b/packages/daemon/include/radishrelay/daemon/caller_request.h
@@ -41,6 +41,8 @@
   std::string Transaction;
   /// SHA-256 of route name and body.
   std::string BodyDigest;
+  /// Another host received the request and passed it on.
+  bool IsForwarded = false;
   base::time_point ReceivedAt;
   base::time_point Deadline;
 
--- a/packages/daemon/include/radishrelay/daemon/group_runtime.h
+++ b/packages/daemon/include/radishrelay/daemon/group_runtime.h
@@ -4,6 +4,7 @@
 #include "radishrelay/daemon/group_outputs.h"
 #include "radishrelay/daemon/instance_link.h"
 #include "radishrelay/daemon/result_body.h"
+#include "radishrelay/daemon/transaction_events.h"
 #include "radishrelay/fleet/database_group.h"
 #include "radishrelay/groups/attempt_end.h"
 #include "radishrelay/groups/concurrency_limit.h"
@@ -39,12 +40,28 @@
 public:
   group_runtime(const group_runtime_options &Options, group_outputs &Outputs);
 
+  /// Without it, requests to open a transaction end at their deadline.
+  void useTransactions(transaction_events &Events) { Transactions = &Events; }
+
   /// Takes an admitted request whose session is decoded.
   void submit(const request_task_ptr &Task, base::time_point Now);
 
   /// The caller is gone: a request that has not been sent will not be.
   void cancel(request_task &Task, base::time_point Now);
 
+  /// Runs statements of \p Task on a connection that a transaction holds;
+  /// answered by transaction_events::onHeldRun().
+  void runHeld(const request_task_ptr &Task,
+               groups::connection_number Connection,
+               const std::vector<groups::planned_statement> &Statements,
+               base::time_point Now);
+  void releaseHeld(groups::connection_number Connection,
+                   groups::connection_use_end End, base::time_point Now);
+  /// Ends \p Task once the commit at \p Position is acknowledged.
+  void acknowledgeCommit(const request_task_ptr &Task,
+                         const groups::log_position &Position,
+                         base::time_point Now);
+
   void onBackend(const backend::backend_event &Event, base::time_point Now);
   void onStore(const groups::store_call_answer &Answer, base::time_point Now);
   void onSuspicion(const groups::suspicion &Suspicion, base::time_point Now);
@@ -109,6 +126,9 @@
                      const groups::log_position &Position,
                      base::time_point Now);
 
+  void finishOpen(const request_task_ptr &Task,
+                  const backend::run_finished &Event, base::time_point Now);
+
   // Queues and runs.
   void enqueue(const request_task_ptr &Task, std::size_t Instance,
                base::time_point Now);
@@ -116,10 +136,15 @@
   void run(const request_task_ptr &Task,
            std::vector<backend::statement> Statements, base::time_point Now);
   void onRunFinished(const backend::run_finished &Event, base::time_point Now);
+  void endRun(const request_task_ptr &Task, const backend::run_finished &Event,
+              base::time_point Now);
+  void noteRunEnd(const request_task &Task, const backend::run_finished &Event,
+                  base::time_point Now);
   void releaseConnection(request_task &Task, const backend::run_finished &Event,
                          base::time_point Now);
   void waitForInstance(const request_task_ptr &Task, base::time_point Until);
   void wakeWaiting(base::time_point Now);
+  void updateLeaving(base::time_point Now);
   void moveWritesFrom(std::size_t Instance, base::time_point Now);
 
   // Calls, evidence and decisions of failover and acknowledgement.
@@ -140,7 +165,7 @@
 
   // Ends of requests.
   void succeed(request_task &Task, std::optional<base::time_point> ValidUntil);
-  void refuse(request_task &Task, problem Problem);
+  void refuse(request_task &Task, const problem &Problem);
   void end(request_task &Task, http_answer &&Answer);
 
   [[nodiscard]] std::optional<std::size_t>
@@ -153,6 +178,7 @@
 
   group_runtime_options Options;
   group_outputs &Outputs;
+  transaction_events *Transactions = nullptr;
   std::vector<std::unique_ptr<instance_state>> Instances;
   groups::read_router Router;
   std::shared_ptr<const groups::acknowledgement_strategy> Strategy;
--- a/packages/daemon/include/radishrelay/daemon/relay.h
+++ b/packages/daemon/include/radishrelay/daemon/relay.h
@@ -4,6 +4,8 @@
 #include "radishrelay/base/metrics_registry.h"
 #include "radishrelay/daemon/group_runtime.h"
 #include "radishrelay/daemon/relay_outputs.h"
+#include "radishrelay/daemon/request_forwarder.h"
+#include "radishrelay/daemon/transaction_runtime.h"
 
 #include <map>
 #include <memory>
@@ -25,7 +27,7 @@
 
 /// Joins all decisions of a host. Takes events, sends actions to its outputs,
 /// and holds no clock, thread or socket. Used by the decision thread only.
-class relay : private group_outputs {
+class relay : private group_outputs, private transaction_outputs {
 public:
   relay(relay_options Options, relay_outputs &Outputs,
         base::metrics_registry &Metrics);
@@ -57,7 +59,15 @@
   bool decodeSession(request_task &Task);
   void countRefusal(const base::account_id &Account, problem_code Code);
 
-  // group_outputs
+  // Transactions, in relay_transactions.cpp.
+  void runInTransaction(caller_request &&Request);
+  void acceptForwarded(const peer_call_received &Event);
+  std::optional<std::string> addressOfHost(const base::host_id &Host) const;
+  bool forwardToHost(const base::host_id &Host,
+                     const request_task_ptr &Task) override;
+  group_runtime *findGroup(const base::group_id &Group) override;
+
+  // group_outputs and transaction_outputs
   void finishTask(request_task &Task, http_answer &&Answer) override;
   bool submitToBackend(backend::backend_command &&Command) override;
   void submitToStore(group_runtime &Group,
@@ -85,6 +95,8 @@
   backend::run_id LastRun = 0;
   task_id LastTask = 0;
   std::uint64_t LastStoreCall = 0;
+  transaction_runtime Transactions;
+  request_forwarder Forwarder;
   std::uint64_t LastGroupSerial = 0;
   base::time_point NextConfigurationRead;
 };
--- a/packages/daemon/include/radishrelay/daemon/request_task.h
+++ b/packages/daemon/include/radishrelay/daemon/request_task.h
@@ -3,8 +3,8 @@
 
 #include "radishrelay/daemon/caller_request.h"
 #include "radishrelay/groups/connection_number.h"
-#include "radishrelay/groups/keyed_write.h"
 #include "radishrelay/groups/instance_status.h"
+#include "radishrelay/groups/keyed_write.h"
 #include "radishrelay/groups/read_request.h"
 #include "radishrelay/groups/session_state.h"
 
@@ -43,6 +43,15 @@
 
   const task_id Id;
   const caller_request Request;
+
+  /// True for a read outside a transaction; all else needs the primary.
+  [[nodiscard]] bool isRead() const {
+    return Request.Route && Request.Route->Kind == fleet::route_kind::Read &&
+           Request.Transaction.empty();
+  }
+
+  /// The caller has closed its connection.
+  bool CallerGone = false;
   groups::session_state Session;
   task_stage Stage = task_stage::WaitingForInstance;
   /// When to decide again, in the stage WaitingForInstance.
@@ -61,7 +70,7 @@
   std::uint32_t Attempts = 0;
   /// A byte of the request may have reached a backend server.
   bool MayHaveRun = false;
-  /// Body of the answer, and the position that must be acknowledged for it.
+  /// Body of the answer, and the position that it adds to the session.
   std::string AnswerBody;
   groups::log_position AnswerPosition;
   groups::status_evidence ReadEvidence;
--- a/packages/daemon/include/radishrelay/daemon/service_view.h
+++ b/packages/daemon/include/radishrelay/daemon/service_view.h
@@ -5,6 +5,7 @@
 #include "radishrelay/base/expected.h"
 #include "radishrelay/fleet/configuration_index.h"
 #include "radishrelay/groups/session_token.h"
+#include "radishrelay/groups/transaction_handle.h"
 
 #include <memory>
 
@@ -17,6 +18,7 @@
   fleet::configuration_index Configuration;
   accounts::key_verifier Keys;
   groups::session_token Sessions;
+  groups::transaction_handle Transactions;
 };
 
 using service_view_ptr = std::shared_ptr<const service_view>;
--- a/packages/daemon/src/daemon_process.cpp
+++ b/packages/daemon/src/daemon_process.cpp
@@ -24,6 +24,9 @@
 
 constexpr std::size_t EventRingSize = 131072;
 constexpr base::duration ReplyTimeout = std::chrono::seconds(5);
+/// A forwarded request has the deadline of its caller.
+constexpr base::duration ForwardReplyTimeout =
+    std::chrono::milliseconds(MaxTimeoutMilliseconds) + ReplyTimeout;
 constexpr base::duration CloseTimeout = std::chrono::seconds(5);
 constexpr std::size_t IncarnationBytes = 8;
 
@@ -132,7 +135,9 @@
                                   const base::json &Parameters) {
     reply_id Id = PeerReplies.open();
     push(peer_call_received{Id, Method, Parameters});
-    return PeerReplies.take(Id, base::monotonic_clock::now() + ReplyTimeout);
+    base::duration Timeout =
+        Method == peer_method::Forward ? ForwardReplyTimeout : ReplyTimeout;
+    return PeerReplies.take(Id, base::monotonic_clock::now() + Timeout);
   }
 
   std::optional<operator_reply> serve(const operator_request &Request) {
--- a/packages/daemon/src/group_runtime.cpp
+++ b/packages/daemon/src/group_runtime.cpp
@@ -42,6 +42,11 @@
   return Failover;
 }
 
+/// A keyed write may wait again after an attempt that may have taken effect.
+groups::ran_state ranState(const request_task &Task) {
+  return Task.MayHaveRun ? groups::ran_state::Unknown : groups::ran_state::No;
+}
+
 std::size_t workQuota(std::uint32_t Quota) {
   return std::max<std::size_t>(1, Quota > 0 ? Quota - 1 : 0);
 }
@@ -102,7 +107,7 @@
 
 void group_runtime::submit(const request_task_ptr &Task, base::time_point Now) {
   Tasks.emplace(Task->Id, Task);
-  if (Task->Request.Route->Kind == fleet::route_kind::Read)
+  if (Task->isRead())
     decideRead(Task, Now);
   else
     startWrite(Task, Now);
@@ -110,10 +115,15 @@
 }
 
 void group_runtime::cancel(request_task &Task, base::time_point Now) {
+  Task.CallerGone = true;
+  // An attempt may have taken effect; the task goes on, so that its retry finds
+  // out.
+  if (Task.MayHaveRun)
+    return;
   bool HasNotRun = Task.Stage == task_stage::WaitingForInstance;
   if (Task.Stage == task_stage::Queued)
     HasNotRun = Instances[Task.Instance]->Queue.remove(Task.Id);
-  if (!HasNotRun || Task.MayHaveRun)
+  if (!HasNotRun)
     return;
   refuse(Task, {problem_code::QueueDeadline, groups::ran_state::No,
                 "the caller has gone", "wait for instance", "", 0});
@@ -130,6 +140,8 @@
                  std::get_if<backend::connection_closed>(&Event)) {
     std::size_t Index = instanceOf(Closed->Connection);
     Instances[Index]->Link.onClosed(Closed->Connection, Now);
+    if (Transactions)
+      Transactions->onConnectionClosed(Closed->Connection, Now);
     pump(Index, Now);
   } else {
     onRunFinished(std::get<backend::run_finished>(Event), Now);
@@ -149,11 +161,21 @@
     return;
   request_task_ptr Task = std::move(Found.mapped());
   Task->MayHaveRun = Task->MayHaveRun || Event.MayHaveReached;
-  if (Task->Request.Route->Kind == fleet::route_kind::Read)
+  endRun(Task, Event, Now);
+  pump(Index, Now);
+}
+
+void group_runtime::endRun(const request_task_ptr &Task,
+                           const backend::run_finished &Event,
+                           base::time_point Now) {
+  if (Transactions && !Task->Request.Transaction.empty())
+    Transactions->onHeldRun(Task, Event, Now);
+  else if (Task->Request.Operation == caller_operation::OpenTransaction)
+    finishOpen(Task, Event, Now);
+  else if (Task->isRead())
     finishRead(Task, Event, Now);
   else
     finishWrite(Task, Event, Now);
-  pump(Index, Now);
 }
 
 void group_runtime::onStore(const groups::store_call_answer &Answer,
@@ -181,10 +203,17 @@
     return;
   Instances[*Index]->Leaving = Leaving;
   Router.setLeaving(Instance, Leaving);
+  updateLeaving(Now);
+}
+
+void group_runtime::updateLeaving(base::time_point Now) {
   // The primary goes on with writes until another is promoted; there is no
-  // other place for them.
-  if (primary() != Index)
-    Instances[*Index]->Link.setLeaving(Leaving, Now);
+  // other place for them. While no primary is known, the former one may return.
+  for (std::size_t Index = 0; Index < Instances.size(); ++Index) {
+    bool IsPrimary = KnownPrimary == Index;
+    Instances[Index]->Link.setLeaving(Instances[Index]->Leaving && !IsPrimary,
+                                      Now);
+  }
 }
 
 void group_runtime::setQuota(std::uint32_t Quota, base::time_point Now) {
@@ -203,7 +232,7 @@
          Instance.Queue.takeExpired(Now))
       if (request_task_ptr Task = findTask(Expired.Id))
         refuse(*Task,
-               {problem_code::QueueDeadline, groups::ran_state::No,
+               {problem_code::QueueDeadline, ranState(*Task),
                 "the deadline passed in the queue", "wait for connection",
                 Instance.Link.options().Instance.str(), 1});
     pump(Index, Now);
@@ -252,7 +281,7 @@
   return Instance.str() + (IsPrimary ? "; role=primary" : "; role=replica");
 }
 
-void group_runtime::refuse(request_task &Task, problem Problem) {
+void group_runtime::refuse(request_task &Task, const problem &Problem) {
   end(Task, problemAnswer(0, Problem));
 }
 
--- a/packages/daemon/src/group_runtime_calls.cpp
+++ b/packages/daemon/src/group_runtime_calls.cpp
@@ -87,13 +87,14 @@
   Outputs.log(base::log_level::Info, "primary changed", Fields);
   std::optional<std::size_t> Former = KnownPrimary;
   KnownPrimary = primary();
+  updateLeaving(Now);
   if (Former && Former != KnownPrimary)
     moveWritesFrom(*Former, Now);
   if (!KnownPrimary)
     return;
   std::vector<request_task_ptr> Writes;
   for (const auto &[Id, Task] : Waiting)
-    if (Task->Request.Route->Kind == fleet::route_kind::Write)
+    if (!Task->isRead())
       Writes.push_back(Task);
   for (const request_task_ptr &Task : Writes) {
     Waiting.erase(Task->Id);
--- a/packages/daemon/src/group_runtime_queues.cpp
+++ b/packages/daemon/src/group_runtime_queues.cpp
@@ -83,11 +83,10 @@
   onRunFinished(Failed, Now);
 }
 
-void group_runtime::releaseConnection(request_task &Task,
-                                      const backend::run_finished &Event,
-                                      base::time_point Now) {
+void group_runtime::noteRunEnd(const request_task &Task,
+                               const backend::run_finished &Event,
+                               base::time_point Now) {
   instance_state &State = *Instances[Task.Instance];
-  groups::connection_use_end End = detail::useEnd(Event);
   bool IsOverload = Event.Failure && Event.SqlState.empty();
   State.Limit.observe(Event.SentAt, Now, State.Running, IsOverload);
   if (!IsOverload) {
@@ -95,7 +94,14 @@
     State.MeanService += (Sample - State.MeanService) / ServiceTimeSmoothing;
   }
   --State.Running;
-  State.Link.giveBack(Task.Connection, End, Now);
+}
+
+void group_runtime::releaseConnection(request_task &Task,
+                                      const backend::run_finished &Event,
+                                      base::time_point Now) {
+  noteRunEnd(Task, Event, Now);
+  Instances[Task.Instance]->Link.giveBack(Task.Connection,
+                                          detail::useEnd(Event), Now);
   Task.Connection = 0;
 }
 
@@ -113,7 +119,7 @@
       Due.push_back(Task);
   for (const request_task_ptr &Task : Due) {
     Waiting.erase(Task->Id);
-    if (Task->Request.Route->Kind == fleet::route_kind::Read)
+    if (Task->isRead())
       decideRead(Task, Now);
     else
       startWrite(Task, Now);
@@ -123,8 +129,7 @@
 void group_runtime::moveWritesFrom(std::size_t Instance, base::time_point Now) {
   std::vector<request_task_ptr> Moved;
   for (const auto &[Id, Task] : Tasks) {
-    bool IsWrite = Task->Request.Route->Kind == fleet::route_kind::Write;
-    if (IsWrite && Task->Stage == task_stage::Queued &&
+    if (!Task->isRead() && Task->Stage == task_stage::Queued &&
         Task->Instance == Instance && Instances[Instance]->Queue.remove(Id))
       Moved.push_back(Task);
   }
--- /dev/null
+++ b/packages/daemon/src/group_runtime_transactions.cpp
@@ -0,0 +1,84 @@
+#include "radishrelay/daemon/group_runtime.h"
+
+#include "run_outcome.h"
+
+#include "radishrelay/groups/request_statements.h"
+#include "radishrelay/groups/retry_policy.h"
+#include "radishrelay/groups/term_history.h"
+
+namespace radishrelay::daemon {
+
+namespace {
+
+/// Position of the status in the run that opens a transaction.
+constexpr std::size_t OpenStatusIndex = 1;
+
+constexpr base::duration RetryPause = std::chrono::milliseconds(20);
+
+} // namespace
+
+void group_runtime::finishOpen(const request_task_ptr &Task,
+                               const backend::run_finished &Event,
+                               base::time_point Now) {
+  // BEGIN alone has no effect.
+  Task->MayHaveRun = false;
+  auto Evidence = detail::statusAt(Event, OpenStatusIndex);
+  if (Evidence)
+    observeStatus(Task->Instance, *Evidence, Now);
+  groups::position_requirement Required =
+      Task->Session.requirementFor(Options.Group.Id);
+  // A primary that was replaced may lack writes of the session.
+  bool HoldsSession =
+      Evidence &&
+      groups::term_history(Evidence->Status).relate(Required.Position) ==
+          groups::position_relation::Contained;
+  if (!Event.Failure && HoldsSession && Transactions) {
+    noteRunEnd(*Task, Event, Now);
+    Waiting.erase(Task->Id);
+    Tasks.erase(Task->Id);
+    Task->Stage = task_stage::Ended;
+    Transactions->onBegun(*this, Task, Task->Connection, Now);
+    return;
+  }
+  releaseConnection(*Task, Event, Now);
+  groups::attempt_end End = detail::attemptEnd(Event);
+  bool IsLasting = groups::isDefiniteRollback(End.SqlState) &&
+                   !groups::isNotPrimary(End.SqlState);
+  if (IsLasting)
+    refuse(*Task, detail::statementProblem(Event, groups::ran_state::No));
+  else if (Task->CallerGone)
+    refuse(*Task, {problem_code::QueueDeadline, groups::ran_state::No,
+                   "the caller has gone", "open transaction", "", 0});
+  else
+    waitForInstance(Task, Now + RetryPause);
+}
+
+void group_runtime::runHeld(
+    const request_task_ptr &Task, groups::connection_number Connection,
+    const std::vector<groups::planned_statement> &Statements,
+    base::time_point Now) {
+  Task->Instance = instanceOf(Connection);
+  Task->Connection = Connection;
+  std::vector<backend::statement> Converted;
+  for (const groups::planned_statement &Statement : Statements)
+    Converted.push_back(toBackend(Statement));
+  run(Task, std::move(Converted), Now);
+}
+
+void group_runtime::releaseHeld(groups::connection_number Connection,
+                                groups::connection_use_end End,
+                                base::time_point Now) {
+  std::size_t Index = instanceOf(Connection);
+  Instances[Index]->Link.giveBack(Connection, End, Now);
+  pump(Index, Now);
+}
+
+void group_runtime::acknowledgeCommit(const request_task_ptr &Task,
+                                      const groups::log_position &Position,
+                                      base::time_point Now) {
+  Tasks.emplace(Task->Id, Task);
+  awaitMajority(Task, Position, Now);
+  settle(Now);
+}
+
+} // namespace radishrelay::daemon
--- a/packages/daemon/src/group_runtime_writes.cpp
+++ b/packages/daemon/src/group_runtime_writes.cpp
@@ -82,7 +82,9 @@
     return;
   }
   if (Task->NextStatements.empty()) {
-    if (Task->Request.IdempotencyKey.empty()) {
+    if (Task->Request.Operation == caller_operation::OpenTransaction) {
+      Task->NextStatements = {statements::begin(), statements::groupStatus()};
+    } else if (Task->Request.IdempotencyKey.empty()) {
       Task->NextStatements = plainStatements(Task->Request);
     } else {
       Task->Keyed.emplace(keyedRequest(Task->Request), Task->Request.Deadline);
@@ -239,7 +241,7 @@
   if (!Task)
     return;
   Router.observeWrite(Task->AnswerPosition, Now);
-  if (Task->Request.Route->Kind == fleet::route_kind::Read)
+  if (Task->isRead())
     judgeRead(Task, true, Now);
   else
     succeed(*Task, Action.ValidUntil);
@@ -250,7 +252,7 @@
   request_task_ptr Task = findTask(Action.Write);
   if (!Task)
     return;
-  bool IsRead = Task->Request.Route->Kind == fleet::route_kind::Read;
+  bool IsRead = Task->isRead();
   bool IsLate = Action.Reason == groups::unknown_reason::DeadlinePassed;
   if (IsRead && !IsLate) {
     ++Task->Read.FailedChecks;
--- a/packages/daemon/src/relay.cpp
+++ b/packages/daemon/src/relay.cpp
@@ -31,7 +31,9 @@
 
 relay::relay(relay_options Options, relay_outputs &Outputs,
              base::metrics_registry &Metrics)
-    : Options(std::move(Options)), Outputs(Outputs), Metrics(Metrics) {}
+    : Options(std::move(Options)), Outputs(Outputs), Metrics(Metrics),
+      Transactions(this->Options.Host, this->Options.Incarnation, *this),
+      Forwarder(Outputs) {}
 
 void relay::handle(relay_event &&Event, base::time_point Time) {
   Now = Time;
@@ -48,12 +50,14 @@
          base::store_request(base::read_row{{"configuration", "current"}}),
          Now + Options.PlatformTimeout});
   }
+  Transactions.tick(Now);
   for (auto &[Id, Group] : Groups)
     Group.Runtime->tick(Now);
 }
 
 base::time_point relay::nextWake() const {
-  base::time_point Wake = NextConfigurationRead;
+  base::time_point Wake =
+      std::min(NextConfigurationRead, Transactions.nextWake());
   for (const auto &[Id, Group] : Groups)
     Wake = std::min(Wake, Group.Runtime->nextWake());
   return Wake;
@@ -65,6 +69,10 @@
                      "too many requests in flight", "admit request", "", 1});
     return;
   }
+  if (!Request.Transaction.empty()) {
+    runInTransaction(std::move(Request));
+    return;
+  }
   auto Group = Groups.find(Request.Group);
   if (Group == Groups.end()) {
     refuse(Request, {problem_code::RouteUnknown, groups::ran_state::No,
@@ -92,6 +100,8 @@
     }
     Task.Session = std::move(*Session);
   }
+  if (!Task.Request.Route)
+    return true;
   const fleet::route &Route = *Task.Request.Route;
   Task.Read.Deadline = Task.Request.Deadline;
   Task.Read.Required = Task.Session.requirementFor(Task.Request.Group);
@@ -107,6 +117,9 @@
   if (Found == TasksByCaller.end())
     return;
   request_task_ptr Task = Found->second;
+  // What runs in a transaction ends with it.
+  if (!Task->Request.Transaction.empty())
+    return;
   Groups.at(Task->Request.Group).Runtime->cancel(*Task, Now);
 }
 
@@ -144,10 +157,17 @@
 void relay::on(datagram_received &&) {}
 
 void relay::on(peer_call_received &&Event) {
+  if (Event.Method == peer_method::Forward) {
+    acceptForwarded(Event);
+    return;
+  }
   Outputs.replyToPeer(Event.Reply, base::json::object());
 }
 
-void relay::on(peer_call_finished &&) {}
+void relay::on(peer_call_finished &&Event) {
+  if (auto Ended = Forwarder.finish(Event))
+    finishTask(*Ended->Task, std::move(Ended->Answer));
+}
 
 void relay::on(operator_request_received &&Event) {
   operator_reply Reply;
@@ -191,6 +211,7 @@
     auto Runtime = std::make_unique<group_runtime>(
         Settings, static_cast<group_outputs &>(*this));
     GroupsBySerial[LastGroupSerial] = Runtime.get();
+    Runtime->useTransactions(Transactions);
     Runtime->tick(Now);
     Groups[Group.Id] = {Group, std::move(Runtime)};
   }
@@ -198,7 +219,9 @@
 
 void relay::refuse(const caller_request &Request, problem Problem) {
   countRefusal(Request.account(), Problem.Code);
-  Outputs.answerCaller(problemAnswer(Request.Connection, Problem));
+  http_answer Answer = problemAnswer(Request.Connection, Problem);
+  if (!Forwarder.replyToPeer(Answer, Request.ReceivedAt))
+    Outputs.answerCaller(std::move(Answer));
 }
 
 void relay::countRefusal(const base::account_id &Account, problem_code Code) {
@@ -214,7 +237,8 @@
   Metrics.observe({"radishrelay_request_seconds"},
                   Now - Task.Request.ReceivedAt);
   TasksByCaller.erase(Task.Request.Connection);
-  Outputs.answerCaller(std::move(Answer));
+  if (!Forwarder.replyToPeer(Answer, Task.Request.ReceivedAt))
+    Outputs.answerCaller(std::move(Answer));
 }
 
 bool relay::submitToBackend(backend::backend_command &&Command) {
@@ -247,6 +271,7 @@
   Dump["groups"] = base::json::array();
   for (const auto &[Id, Group] : Groups)
     Dump["groups"].push_back(Group.Runtime->dump());
+  Dump["transactions"] = Transactions.dump();
   Dump["metrics"] = Metrics.dump();
   return Dump;
 }
