--- a/packages/daemon/include/radishrelay/daemon/group_runtime.h
+++ b/packages/daemon/include/radishrelay/daemon/group_runtime.h
@@ -149,7 +149,9 @@
 
   // Calls, evidence and decisions of failover and acknowledgement.
   void settle(base::time_point Now);
-  void deliver(const groups::instance_answer &Answer, base::time_point Now);
+  void deliver(const link_answer &Ended, base::time_point Now);
+  void call(const groups::instance_call &Call, call_user User,
+            base::time_point Now);
   void observeStatus(std::size_t Instance,
                      const groups::status_evidence &Evidence,
                      base::time_point Now);
--- a/packages/daemon/include/radishrelay/daemon/instance_link.h
+++ b/packages/daemon/include/radishrelay/daemon/instance_link.h
@@ -4,8 +4,8 @@
 #include "radishrelay/backend/backend_event.h"
 #include "radishrelay/base/identifier.h"
 #include "radishrelay/daemon/group_outputs.h"
+#include "radishrelay/daemon/link_answer.h"
 #include "radishrelay/groups/connection_pool.h"
-#include "radishrelay/groups/instance_answer.h"
 
 #include <deque>
 #include <map>
@@ -33,7 +33,7 @@
 
   /// Runs the call as soon as the control connection is ready. Status calls
   /// that wait together share one run.
-  void call(const groups::instance_call &Call, base::time_point Now);
+  void call(const link_call &Call, base::time_point Now);
 
   /// Takes a ready work connection; empty when there is none.
   std::optional<groups::connection_number> take() { return Pool.take(); }
@@ -52,7 +52,7 @@
   void tick(base::time_point Now);
 
   /// The ends of calls since the last time this was called.
-  std::vector<groups::instance_answer> takeAnswers();
+  std::vector<link_answer> takeAnswers();
 
   [[nodiscard]] std::optional<base::time_point> nextWake() const;
   [[nodiscard]] const instance_link_options &options() const { return Options; }
@@ -61,7 +61,7 @@
 
 private:
   /// The calls that a run on the control connection answers.
-  using call_batch = std::vector<groups::instance_call>;
+  using call_batch = std::vector<link_call>;
 
   struct reset_run {
     groups::connection_number Connection = 0;
@@ -87,10 +87,10 @@
   instance_link_options Options;
   group_outputs &Outputs;
   groups::connection_pool Pool;
-  std::deque<groups::instance_call> WaitingCalls;
+  std::deque<link_call> WaitingCalls;
   std::map<backend::run_id, call_batch> CallRuns;
   std::map<backend::run_id, reset_run> ResetRuns;
-  std::vector<groups::instance_answer> Answers;
+  std::vector<link_answer> Answers;
 };
 
 /// Converts a statement of the decisions to one of the backend thread.
--- a/packages/daemon/include/radishrelay/daemon/request_task.h
+++ b/packages/daemon/include/radishrelay/daemon/request_task.h
@@ -70,9 +70,12 @@
   std::uint32_t Attempts = 0;
   /// A byte of the request may have reached a backend server.
   bool MayHaveRun = false;
-  /// Body of the answer, and the position that it adds to the session.
+  /// Body of the answer, and the position that must be acknowledged for it.
   std::string AnswerBody;
   groups::log_position AnswerPosition;
+  /// What the answer adds to the session: an entry that no failover gives to
+  /// another log.
+  groups::log_position SessionPosition;
   groups::status_evidence ReadEvidence;
   bool IsRepeatedAnswer = false;
 };
--- a/packages/daemon/src/group_runtime.cpp
+++ b/packages/daemon/src/group_runtime.cpp
@@ -264,7 +264,7 @@
   http_answer Answer;
   Answer.Body = Task.AnswerBody;
   Answer.ValidUntil = ValidUntil;
-  Task.Session.merge(Options.Group.Id, Task.AnswerPosition);
+  Task.Session.merge(Options.Group.Id, Task.SessionPosition);
   auto Token = Task.Request.View->Sessions.encode(Task.Session);
   if (Token)
     Answer.Headers.push_back({"Radishrelay-Session", *Token});
--- a/packages/daemon/src/group_runtime_calls.cpp
+++ b/packages/daemon/src/group_runtime_calls.cpp
@@ -17,8 +17,7 @@
   for (bool Progress = true; Progress;) {
     Progress = false;
     for (std::unique_ptr<instance_state> &Instance : Instances)
-      for (const groups::instance_answer &Answer :
-           Instance->Link.takeAnswers()) {
+      for (const link_answer &Answer : Instance->Link.takeAnswers()) {
         Progress = true;
         deliver(Answer, Now);
       }
@@ -26,13 +25,16 @@
   Settling = false;
 }
 
-void group_runtime::deliver(const groups::instance_answer &Answer,
-                            base::time_point Now) {
+void group_runtime::deliver(const link_answer &Ended, base::time_point Now) {
+  const groups::instance_answer &Answer = Ended.Answer;
   if (Answer.Status)
     Router.observe(Answer.Call.Instance, {*Answer.Status, Answer.AskedAt});
   else if (Answer.Outcome == groups::call_outcome::Failed)
     Router.observeFailure(Answer.Call.Instance);
-  apply(Failover.handle(Answer, Now), Now);
+  // A failed call on an open connection is not a probe; the failover would
+  // take it for one that has the same deadline.
+  if (Answer.Status || Ended.User == call_user::Failover)
+    apply(Failover.handle(Answer, Now), Now);
   apply(Tracker.handle(Answer, Now), Now);
   if (Answer.Status)
     wakeWaiting(Now);
@@ -47,7 +49,7 @@
   Answer.Outcome = groups::call_outcome::Done;
   Answer.Status = Evidence.Status;
   Answer.AskedAt = Evidence.AskedAt;
-  deliver(Answer, Now);
+  deliver({Answer, call_user::WriteTracker}, Now);
 }
 
 void group_runtime::apply(const groups::failover_actions &Actions,
@@ -58,14 +60,23 @@
 
 void group_runtime::apply(const std::vector<groups::write_action> &Actions,
                           base::time_point Now) {
-  for (const groups::write_action &Action : Actions)
-    std::visit([&](const auto &Content) { on(Content, Now); }, Action);
+  for (const groups::write_action &Action : Actions) {
+    if (const auto *Call = std::get_if<groups::instance_call>(&Action))
+      call(*Call, call_user::WriteTracker, Now);
+    else
+      std::visit([&](const auto &Content) { on(Content, Now); }, Action);
+  }
 }
 
 void group_runtime::on(const groups::instance_call &Call,
                        base::time_point Now) {
+  call(Call, call_user::Failover, Now);
+}
+
+void group_runtime::call(const groups::instance_call &Call, call_user User,
+                         base::time_point Now) {
   if (std::optional<std::size_t> Index = indexOf(Call.Instance))
-    Instances[*Index]->Link.call(Call, Now);
+    Instances[*Index]->Link.call({Call, User}, Now);
 }
 
 void group_runtime::on(const groups::store_call &Call, base::time_point Now) {
--- a/packages/daemon/src/group_runtime_reads.cpp
+++ b/packages/daemon/src/group_runtime_reads.cpp
@@ -91,7 +91,7 @@
       Task->Read, Instances[Task->Instance]->Link.options().Instance,
       Task->ReadEvidence, IsConfirmed, Now);
   if (auto *Accepted = std::get_if<groups::accept_result>(&Verdict)) {
-    Task->AnswerPosition = Accepted->Seen;
+    Task->SessionPosition = Accepted->Seen;
     succeed(*Task, std::nullopt);
   } else if (auto *Refused = std::get_if<groups::refuse_result>(&Verdict)) {
     refuse(*Task, readProblem(Refused->Code, *Task, Options.Group.Id.str()));
--- a/packages/daemon/src/group_runtime_transactions.cpp
+++ b/packages/daemon/src/group_runtime_transactions.cpp
@@ -77,6 +77,8 @@
                                       const groups::log_position &Position,
                                       base::time_point Now) {
   Tasks.emplace(Task->Id, Task);
+  // The primary has committed, so its log has reached its term.
+  Task->SessionPosition = Position;
   awaitMajority(Task, Position, Now);
   settle(Now);
 }
--- a/packages/daemon/src/group_runtime_writes.cpp
+++ b/packages/daemon/src/group_runtime_writes.cpp
@@ -5,6 +5,7 @@
 #include "radishrelay/groups/request_error.h"
 #include "radishrelay/groups/request_statements.h"
 #include "radishrelay/groups/retry_policy.h"
+#include "radishrelay/groups/term_history.h"
 
 #include <Poco/Timestamp.h>
 
@@ -119,6 +120,7 @@
     return;
   }
   observeStatus(Task->Instance, *Evidence, Now);
+  Task->SessionPosition = groups::term_history(Evidence->Status).lastEntry();
   Task->AnswerBody = resultBody(Event.Results[WriteResultIndex]);
   awaitMajority(Task, Evidence->Status.Position, Now);
 }
@@ -151,8 +153,10 @@
   groups::attempt_end End = detail::attemptEnd(Event);
   auto Evidence = detail::statusAt(Event, KeyedStatusIndex);
   groups::log_position Position;
-  if (Evidence)
+  if (Evidence) {
     Position = Evidence->Status.Position;
+    Task->SessionPosition = groups::term_history(Evidence->Status).lastEntry();
+  }
   using state = groups::keyed_write::state;
   switch (Task->Keyed->current()) {
   case state::Claiming: {
--- a/packages/daemon/src/instance_link.cpp
+++ b/packages/daemon/src/instance_link.cpp
@@ -44,8 +44,7 @@
                              group_outputs &Outputs)
     : Options(std::move(Options)), Outputs(Outputs), Pool(this->Options.Pool) {}
 
-void instance_link::call(const groups::instance_call &Call,
-                         base::time_point Now) {
+void instance_link::call(const link_call &Call, base::time_point Now) {
   WaitingCalls.push_back(Call);
   startCalls(Now);
 }
@@ -99,15 +98,15 @@
   startCalls(Now);
 }
 
-std::vector<groups::instance_answer> instance_link::takeAnswers() {
+std::vector<link_answer> instance_link::takeAnswers() {
   return std::exchange(Answers, {});
 }
 
 std::optional<base::time_point> instance_link::nextWake() const {
   std::optional<base::time_point> Wake = Pool.nextDeadline();
-  for (const groups::instance_call &Call : WaitingCalls)
-    if (!Wake || Call.Deadline < *Wake)
-      Wake = Call.Deadline;
+  for (const link_call &Waiting : WaitingCalls)
+    if (!Wake || Waiting.Call.Deadline < *Wake)
+      Wake = Waiting.Call.Deadline;
   return Wake;
 }
 
@@ -177,11 +176,11 @@
   if (WaitingCalls.empty() || !Control || !CallRuns.empty())
     return;
   call_batch Calls = nextBatch();
-  base::time_point Deadline = Calls.front().Deadline;
-  for (const groups::instance_call &Call : Calls)
-    Deadline = std::max(Deadline, Call.Deadline);
+  base::time_point Deadline = Calls.front().Call.Deadline;
+  for (const link_call &Item : Calls)
+    Deadline = std::max(Deadline, Item.Call.Deadline);
   backend::run_id Run = Outputs.nextRun();
-  std::vector<backend::statement> Statements{callStatement(Calls.front())};
+  std::vector<backend::statement> Statements{callStatement(Calls.front().Call)};
   if (submitRun(*Control, Run, std::move(Statements), Deadline)) {
     CallRuns.emplace(Run, std::move(Calls));
     return;
@@ -195,10 +194,10 @@
 instance_link::call_batch instance_link::nextBatch() {
   call_batch Calls{WaitingCalls.front()};
   WaitingCalls.pop_front();
-  if (Calls.front().Kind != groups::call_kind::Status)
+  if (Calls.front().Call.Kind != groups::call_kind::Status)
     return Calls;
-  auto IsStatus = [](const groups::instance_call &Call) {
-    return Call.Kind == groups::call_kind::Status;
+  auto IsStatus = [](const link_call &Item) {
+    return Item.Call.Kind == groups::call_kind::Status;
   };
   std::copy_if(WaitingCalls.begin(), WaitingCalls.end(),
                std::back_inserter(Calls), IsStatus);
@@ -214,17 +213,18 @@
     Outcome = groups::call_outcome::Refused;
   else if (!Event.Failure && Status)
     Outcome = groups::call_outcome::Done;
-  for (const groups::instance_call &Call : Calls)
-    Answers.push_back({Call, Outcome, Status, Event.SentAt});
+  for (const link_call &Item : Calls)
+    Answers.push_back({{Item.Call, Outcome, Status, Event.SentAt}, Item.User});
 }
 
 void instance_link::expireCalls(base::time_point Now) {
-  auto IsExpired = [Now](const groups::instance_call &Call) {
-    return Call.Deadline <= Now;
+  auto IsExpired = [Now](const link_call &Item) {
+    return Item.Call.Deadline <= Now;
   };
-  for (const groups::instance_call &Call : WaitingCalls)
-    if (IsExpired(Call))
-      Answers.push_back({Call, groups::call_outcome::Failed, {}, Now});
+  for (const link_call &Item : WaitingCalls)
+    if (IsExpired(Item))
+      Answers.push_back(
+          {{Item.Call, groups::call_outcome::Failed, {}, Now}, Item.User});
   std::erase_if(WaitingCalls, IsExpired);
 }
 
