--- a/packages/cli/src/secret_commands.cpp
+++ b/packages/cli/src/secret_commands.cpp
@@ -30,7 +30,7 @@
     return exit_code::Usage;
   }
   base::json Operation = base::json::object();
-  Operation["op"] = "grant_key";
+  Operation["operation"] = "grant_key";
   Operation["account"] = Account.str();
   Operation["key"] = {{"id", Key->Record.KeyId},
                       {"salt", Key->Record.Salt},
--- a/packages/daemon/include/radishrelay/daemon/relay.h
+++ b/packages/daemon/include/radishrelay/daemon/relay.h
@@ -8,6 +8,8 @@
 #include "radishrelay/daemon/group_runtime.h"
 #include "radishrelay/daemon/limits_runtime.h"
 #include "radishrelay/daemon/relay_outputs.h"
+#include "radishrelay/daemon/request_forwarder.h"
+#include "radishrelay/daemon/transaction_runtime.h"
 #include "radishrelay/fleet/drain.h"
 
 #include <map>
@@ -36,6 +38,7 @@
 /// Joins all decisions of a host. Takes events, sends actions to its outputs,
 /// and holds no thread or socket. Used by the decision thread only.
 class relay : private group_outputs,
+              private transaction_outputs,
               private limits_outputs,
               private fleet_outputs {
 public:
@@ -71,6 +74,14 @@
   void refuse(const caller_request &Request, const problem &Problem);
   void count(const base::account_id &Account, accounts::audit_outcome Outcome);
 
+  // Transactions, in relay_transactions.cpp.
+  void runInTransaction(caller_request &&Request);
+  void acceptForwarded(const peer_call_received &Event);
+  std::optional<std::string> addressOfHost(const base::host_id &Host) const;
+  bool forwardToHost(const base::host_id &Host,
+                     const request_task_ptr &Task) override;
+  group_runtime *findGroup(const base::group_id &Group) override;
+
   // Groups.
   void updateGroups(const fleet::configuration_document &Document);
   void addGroup(const fleet::database_group &Group);
@@ -98,7 +109,7 @@
   void on(const fleet::cut_running_work &Action);
   void on(const fleet::stop_process &Action);
 
-  // group_outputs
+  // group_outputs and transaction_outputs
   void finishTask(request_task &Task, http_answer &&Answer) override;
   bool submitToBackend(backend::backend_command &&Command) override;
   void submitToStore(group_runtime &Group,
@@ -145,6 +156,8 @@
   fleet_runtime Fleet;
   limits_runtime Limits;
   fleet::drain Drain;
+  transaction_runtime Transactions;
+  request_forwarder Forwarder;
   accounts::audit_log Audit;
   std::map<base::group_id, group_entry> Groups;
   /// Former definitions of groups, kept until their requests have ended.
--- a/packages/daemon/include/radishrelay/daemon/request_task.h
+++ b/packages/daemon/include/radishrelay/daemon/request_task.h
@@ -43,6 +43,15 @@
 
   const task_id Id;
   const caller_request Request;
+
+  /// True for a read outside a transaction; all else needs the primary.
+  [[nodiscard]] bool isRead() const {
+    return Request.Route && Request.Route->Kind == fleet::route_kind::Read &&
+           Request.Transaction.empty();
+  }
+
+  /// The caller has closed its connection.
+  bool CallerGone = false;
   groups::session_state Session;
   task_stage Stage = task_stage::WaitingForInstance;
   /// When to decide again, in the stage WaitingForInstance.
@@ -64,6 +73,9 @@
   /// Body of the answer, and the position that must be acknowledged for it.
   std::string AnswerBody;
   groups::log_position AnswerPosition;
+  /// What the answer adds to the session: an entry that no failover gives to
+  /// another log.
+  groups::log_position SessionPosition;
   groups::status_evidence ReadEvidence;
   bool IsRepeatedAnswer = false;
 };
--- a/packages/daemon/src/group_runtime_writes.cpp
+++ b/packages/daemon/src/group_runtime_writes.cpp
@@ -5,6 +5,7 @@
 #include "radishrelay/groups/request_error.h"
 #include "radishrelay/groups/request_statements.h"
 #include "radishrelay/groups/retry_policy.h"
+#include "radishrelay/groups/term_history.h"
 
 #include <Poco/Timestamp.h>
 
@@ -82,7 +83,9 @@
     return;
   }
   if (Task->NextStatements.empty()) {
-    if (Task->Request.IdempotencyKey.empty()) {
+    if (Task->Request.Operation == caller_operation::OpenTransaction) {
+      Task->NextStatements = {statements::begin(), statements::groupStatus()};
+    } else if (Task->Request.IdempotencyKey.empty()) {
       Task->NextStatements = plainStatements(Task->Request);
     } else {
       Task->Keyed.emplace(keyedRequest(Task->Request), Task->Request.Deadline);
@@ -117,6 +120,7 @@
     return;
   }
   observeStatus(Task->Instance, *Evidence, Now);
+  Task->SessionPosition = groups::term_history(Evidence->Status).lastEntry();
   Task->AnswerBody = resultBody(Event.Results[WriteResultIndex]);
   awaitMajority(Task, Evidence->Status.Position, Now);
 }
@@ -149,8 +153,10 @@
   groups::attempt_end End = detail::attemptEnd(Event);
   auto Evidence = detail::statusAt(Event, KeyedStatusIndex);
   groups::log_position Position;
-  if (Evidence)
+  if (Evidence) {
     Position = Evidence->Status.Position;
+    Task->SessionPosition = groups::term_history(Evidence->Status).lastEntry();
+  }
   using state = groups::keyed_write::state;
   switch (Task->Keyed->current()) {
   case state::Claiming: {
@@ -239,7 +245,7 @@
   if (!Task)
     return;
   Router.observeWrite(Task->AnswerPosition, Now);
-  if (Task->Request.Route->Kind == fleet::route_kind::Read)
+  if (Task->isRead())
     judgeRead(Task, true, Now);
   else
     succeed(*Task, Action.ValidUntil);
@@ -250,7 +256,7 @@
   request_task_ptr Task = findTask(Action.Write);
   if (!Task)
     return;
-  bool IsRead = Task->Request.Route->Kind == fleet::route_kind::Read;
+  bool IsRead = Task->isRead();
   bool IsLate = Action.Reason == groups::unknown_reason::DeadlinePassed;
   if (IsRead && !IsLate) {
     ++Task->Read.FailedChecks;
--- a/packages/daemon/src/relay.cpp
+++ b/packages/daemon/src/relay.cpp
@@ -51,7 +51,9 @@
       Fleet(selfAsMember(Options), Options.Seed, Options.JoinAddresses,
             StartedAt, *this),
       Limits({Options.Host, Options.FailureDomain, Options.Incarnation}, *this),
-      Drain(Options.Drain) {
+      Drain(Options.Drain),
+      Transactions(Options.Host, std::to_string(Options.Incarnation), *this),
+      Forwarder(Outputs) {
   onMembersChanged();
 }
 
@@ -72,6 +74,7 @@
   }
   if (HeldSlot != Limits.holdsSlot(Now))
     updateQuotas();
+  Transactions.tick(Now);
   for (auto &[Id, Group] : Groups)
     if (Group.Runtime->nextWake() <= Now)
       Group.Runtime->tick(Now);
@@ -82,6 +85,7 @@
 
 base::time_point relay::nextWake() const {
   base::time_point Wake = std::min(Fleet.nextWake(), Limits.nextWake());
+  Wake = std::min(Wake, Transactions.nextWake());
   for (const auto &[Id, Group] : Groups)
     Wake = std::min(Wake, Group.Runtime->nextWake());
   return Wake;
@@ -95,7 +99,8 @@
         Retry};
   };
   bool IsKeyed = Request.Key && !(Request.Route && Request.Route->Open);
-  if (!Drain.acceptsWork())
+  // What belongs to an open transaction is still served during a drain.
+  if (!Drain.acceptsWork() && Request.Transaction.empty())
     return Refusal(problem_code::Draining, "the host is shutting down", 1);
   if (IsKeyed && !Fleet.isFresh(Now))
     return Refusal(problem_code::ConfigurationStale,
@@ -104,7 +109,7 @@
     return Refusal(problem_code::KeyInvalid, "unknown or withdrawn key", 0);
   if (TasksByCaller.size() >= Options.MaxRequestsInFlight)
     return Refusal(problem_code::Overloaded, "too many requests in flight", 1);
-  if (!Groups.count(Request.Group))
+  if (Request.Transaction.empty() && !Groups.count(Request.Group))
     return Refusal(problem_code::RouteUnknown, "the route's group is gone", 0);
   return std::nullopt;
 }
@@ -121,6 +126,13 @@
     refuse(Request, *Problem);
     return;
   }
+  // The end of a transaction takes no token: a refusal would keep its
+  // connection longer.
+  if (Request.Operation == caller_operation::CommitTransaction ||
+      Request.Operation == caller_operation::RollbackTransaction) {
+    runInTransaction(std::move(Request));
+    return;
+  }
   request_task_ptr Task(new request_task(++LastTask, std::move(Request)));
   if (!decodeSession(*Task))
     return;
@@ -155,6 +167,10 @@
 }
 
 void relay::route(const request_task_ptr &Task) {
+  if (!Task->Request.Transaction.empty()) {
+    Transactions.submit(Task, Now);
+    return;
+  }
   auto Group = Groups.find(Task->Request.Group);
   if (Group == Groups.end()) {
     TasksByCaller.erase(Task->Request.Connection);
@@ -202,6 +218,9 @@
     TasksByCaller.erase(Found);
     return;
   }
+  // What runs in a transaction ends with it.
+  if (!Task->Request.Transaction.empty())
+    return;
   auto Group = Groups.find(Task->Request.Group);
   if (Group != Groups.end())
     Group->second.Runtime->cancel(*Task, Now);
@@ -240,7 +259,9 @@
   count(Request.account(), auditOutcome(Problem.Code));
   Metrics.increment({"radishrelay_requests_refused_total", "code",
                      std::string(codeName(Problem.Code))});
-  Outputs.answerCaller(problemAnswer(Request.Connection, Problem));
+  http_answer Answer = problemAnswer(Request.Connection, Problem);
+  if (!Forwarder.replyToPeer(Answer, Request.ReceivedAt))
+    Outputs.answerCaller(std::move(Answer));
 }
 
 void relay::count(const base::account_id &Account,
@@ -257,7 +278,8 @@
   Metrics.observe({"radishrelay_request_seconds"},
                   Now - Task.Request.ReceivedAt);
   TasksByCaller.erase(Task.Request.Connection);
-  Outputs.answerCaller(std::move(Answer));
+  if (!Forwarder.replyToPeer(Answer, Task.Request.ReceivedAt))
+    Outputs.answerCaller(std::move(Answer));
 }
 
 base::json relay::dump() const {
@@ -271,6 +293,7 @@
   Dump["drain"] = Drain.dump();
   Dump["fleet"] = Fleet.dump(Now);
   Dump["limits"] = Limits.dump();
+  Dump["transactions"] = Transactions.dump();
   Dump["groups"] = base::json::array();
   for (const auto &[Id, Group] : Groups)
     Dump["groups"].push_back(Group.Runtime->dump());
--- a/packages/daemon/src/relay_fleet.cpp
+++ b/packages/daemon/src/relay_fleet.cpp
@@ -62,11 +62,19 @@
 }
 
 void relay::on(peer_call_finished &&Event) {
+  if (auto Ended = Forwarder.finish(Event)) {
+    finishTask(*Ended->Task, std::move(Ended->Answer));
+    return;
+  }
   if (auto Found = PeerCalls.extract(Event.Id))
     Found.mapped()(Event.Result);
 }
 
 void relay::on(peer_call_received &&Event) {
+  if (Event.Method == peer_method::Forward) {
+    acceptForwarded(Event);
+    return;
+  }
   base::json Result = base::json::object();
   if (Event.Method == peer_method::ConfigurationSince)
     Result = Fleet.answerConfigurationSince(Event.Parameters);
--- a/packages/daemon/src/relay_groups.cpp
+++ b/packages/daemon/src/relay_groups.cpp
@@ -47,6 +47,7 @@
   auto Runtime = std::make_unique<group_runtime>(
       Settings, static_cast<group_outputs &>(*this));
   GroupsBySerial[LastGroupSerial] = Runtime.get();
+  Runtime->useTransactions(Transactions);
   Groups[Group.Id] = {Group, LastGroupSerial, std::move(Runtime)};
 }
 
--- a/packages/daemon/src/relay_operators.cpp
+++ b/packages/daemon/src/relay_operators.cpp
@@ -218,7 +218,7 @@
 void relay::advanceDrain() {
   if (Drain.isReady())
     return;
-  apply(Drain.onRunning(TasksByCaller.size(), Now));
+  apply(Drain.onRunning(TasksByCaller.size() + Transactions.openCount(), Now));
   if (Limits.drained(Now))
     apply(Drain.onHandedOver(Now));
   apply(Drain.tick(Now));
