--- a/bench/fleet/bench_network.cpp
+++ b/bench/fleet/bench_network.cpp
@@ -19,17 +19,22 @@
 /// Adds the real time of a scope.
 class stopwatch {
 public:
-  explicit stopwatch(std::uint64_t &Total) : Total(Total) {}
+  stopwatch(network_traffic &Traffic, bool IsWitness)
+      : Traffic(Traffic), IsWitness(IsWitness) {}
   ~stopwatch() {
     auto Spent = std::chrono::steady_clock::now() - Start;
-    Total += static_cast<std::uint64_t>(
+    auto Nanoseconds = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::nanoseconds>(Spent).count());
+    Traffic.Nanoseconds += Nanoseconds;
+    if (IsWitness)
+      Traffic.WitnessNanoseconds += Nanoseconds;
   }
   stopwatch(const stopwatch &) = delete;
   stopwatch &operator=(const stopwatch &) = delete;
 
 private:
-  std::uint64_t &Total;
+  network_traffic &Traffic;
+  bool IsWitness;
   std::chrono::steady_clock::time_point Start =
       std::chrono::steady_clock::now();
 };
@@ -55,6 +60,10 @@
              [this, Index] { tick(Index); });
 }
 
+bool bench_network::isWitness(std::size_t Index) const {
+  return Index / Options.Domains < WitnessesPerDomain;
+}
+
 void bench_network::addHosts() {
   for (std::size_t Index = 0; Index < Options.Hosts; ++Index) {
     std::size_t Domain = Index % Options.Domains;
@@ -116,7 +125,7 @@
   membership_actions Packets;
   replica_actions Actions;
   {
-    stopwatch Watch(Traffic.Nanoseconds);
+    stopwatch Watch(Traffic, isWitness(Index));
     Packets = Host.Membership->tick(Now);
     Actions = Host.Replica->tick(Now);
   }
@@ -131,7 +140,7 @@
     return;
   membership_actions Actions;
   {
-    stopwatch Watch(Traffic.Nanoseconds);
+    stopwatch Watch(Traffic, isWitness(To));
     auto Message = decodeMessage(Packet);
     Host.Membership->setConfiguration(Host.Replica->freshness().answer(Now));
     Actions =
@@ -154,11 +163,15 @@
 void bench_network::perform(std::size_t Index, const send_packet &Action) {
   std::string Packet;
   {
-    stopwatch Watch(Traffic.Nanoseconds);
+    stopwatch Watch(Traffic, isWitness(Index));
     Packet = encodeMessage(Action.Message);
   }
   ++Traffic.Packets;
   Traffic.PacketBytes += Packet.size();
+  if (isWitness(Index)) {
+    ++Traffic.WitnessPackets;
+    Traffic.WitnessBytes += Packet.size();
+  }
   auto To = ByAddress.find(Action.Address);
   if (To == ByAddress.end() || Random.chance(Options.Loss))
     return;
@@ -201,6 +214,8 @@
         formatDelta(Hosts[Peer].Replica->since(Action.Since)).dump();
     ++Traffic.Calls;
     Traffic.CallBytes += Text.size() + CallHeaderBytes;
+    if (isWitness(Peer))
+      Traffic.WitnessBytes += Text.size() + CallHeaderBytes;
     schedule(NetworkDelay, [this, Index, Action, Text] {
       auto Delta = parseDelta(base::json::parse(Text));
       perform(Index, Hosts[Index].Replica->onDelta(Action.Peer, *Delta, Now));
--- a/bench/fleet/bench_network.h
+++ b/bench/fleet/bench_network.h
@@ -29,6 +29,10 @@
   std::uint64_t StoreReads = 0;
   /// Real time spent on encoding, decoding and deciding.
   std::uint64_t Nanoseconds = 0;
+  /// The same, of the witnesses alone.
+  std::uint64_t WitnessPackets = 0;
+  std::uint64_t WitnessBytes = 0;
+  std::uint64_t WitnessNanoseconds = 0;
 };
 
 /// Memberships and replicas of a whole fleet in virtual time.
@@ -47,6 +51,9 @@
   /// Live hosts of the domain of \p Index that hold it for live.
   [[nodiscard]] std::size_t believers(std::size_t Index) const;
   [[nodiscard]] std::size_t freshHosts() const;
+  [[nodiscard]] std::size_t witnesses() const {
+    return Document.Witnesses.size();
+  }
 
   base::time_point Now = base::fromMicroseconds(1'000'000);
   network_traffic Traffic;
@@ -70,6 +77,7 @@
     }
   };
 
+  [[nodiscard]] bool isWitness(std::size_t Index) const;
   void addHosts();
   void introduce();
   void schedule(base::duration After, std::function<void()> Run);
--- a/bench/fleet/main.cpp
+++ b/bench/fleet/main.cpp
@@ -48,6 +48,8 @@
       Network, [&] { return Network.believers(Options.Hosts - 1) == 0; });
   auto Hosts = static_cast<double>(Options.Hosts);
   double PerHost = Hosts * seconds(Measured);
+  double PerWitness =
+      static_cast<double>(Network.witnesses()) * seconds(Measured);
   return {{"hosts", Options.Hosts},
           {"domains", Options.Domains},
           {"loss", Options.Loss},
@@ -55,6 +57,12 @@
           {"messages_per_s", static_cast<double>(Quiet.Packets) / PerHost},
           {"bytes_per_s",
            static_cast<double>(Quiet.PacketBytes + Quiet.CallBytes) / PerHost},
+          {"witness_messages_per_s",
+           static_cast<double>(Quiet.WitnessPackets) / PerWitness},
+          {"witness_bytes_per_s",
+           static_cast<double>(Quiet.WitnessBytes) / PerWitness},
+          {"witness_us_per_s",
+           static_cast<double>(Quiet.WitnessNanoseconds) / 1000.0 / PerWitness},
           {"store_reads_per_s",
            static_cast<double>(Quiet.StoreReads) / seconds(Measured)},
           {"fresh_hosts", Fresh},
@@ -69,7 +77,7 @@
 void printRow(const base::json &Row) {
   std::printf(
       "%5zu %4zu %5.2f %4zu %8.1f %8.0f %8.1f %6zu %8.2f %8.2f %8zu "
-      "%6zu %8.1f\n",
+      "%6zu %8.1f %8.1f %8.0f %8.0f\n",
       Row["hosts"].get<std::size_t>(), Row["domains"].get<std::size_t>(),
       Row["loss"].get<double>(), Row["seed"].get<std::size_t>(),
       Row["messages_per_s"].get<double>(), Row["bytes_per_s"].get<double>(),
@@ -78,7 +86,10 @@
       Row["in_force_max_s"].get<double>(), Row["detection_s"].get<double>(),
       Row["false_suspicions"].get<std::size_t>(),
       Row["falsely_gone"].get<std::size_t>(),
-      Row["us_per_message"].get<double>());
+      Row["us_per_message"].get<double>(),
+      Row["witness_messages_per_s"].get<double>(),
+      Row["witness_bytes_per_s"].get<double>(),
+      Row["witness_us_per_s"].get<double>());
   std::fflush(stdout);
 }
 
@@ -98,8 +109,9 @@
                                    {500, 3}, {500, 12}, {2600, 12}};
   base::json Rows = base::json::array();
   if (!Json)
-    std::printf("hosts doms  loss seed    msg/s  bytes/s  reads/s  fresh "
-                "in_force detected susp. gone us/msg\n");
+    std::printf(
+        "hosts doms  loss seed    msg/s  bytes/s  reads/s  fresh "
+        "in_force detected susp. gone us/msg  w.msg/s w.byte/s  w.us/s\n");
   for (network_options Options : Sizes) {
     if (Only != 0 && Options.Hosts != Only)
       continue;
