--- a/packages/daemon/tests/request_forwarder_test.cpp
+++ b/packages/daemon/tests/request_forwarder_test.cpp
@@ -10,6 +10,7 @@
 
 /// Keeps what a forwarder sends.
 struct kept_outputs : relay_outputs {
+  [[nodiscard]] base::time_point clock() const override { return {}; }
   void answerCaller(http_answer &&) override {}
   bool submitToBackend(radishrelay::backend::backend_command &&) override {
     return true;
