--- a/packages/cli/src/http_route_client.cpp
+++ b/packages/cli/src/http_route_client.cpp
@@ -87,10 +87,15 @@
   Poco::Net::HTTPClientSession &Session = *Sessions[Call.Host];
   route_answer Answer;
   try {
+    // Between requests only the end of the connection makes it readable. With
+    // a new one nothing of the request can be lost.
+    if (Session.connected() &&
+        Session.socket().poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ))
+      Session.reset();
     readAnswerBody(sendRequest(Session, Call, Answer), Answer);
     return Answer;
   } catch (const Poco::Net::ConnectionRefusedException &) {
-    Answer.Code = "connection_refused";
+    Answer.Code = ConnectionRefused;
     Answer.Ran = groups::ran_state::No;
   } catch (const Poco::TimeoutException &) {
     Answer.Code = "no_answer";
--- a/packages/cli/src/load_measures.cpp
+++ b/packages/cli/src/load_measures.cpp
@@ -68,7 +68,10 @@
 }
 
 void addRecord(const request_record &Record, load_measures &Measures) {
+  // Longer than the scheduler delays a thread on a busy machine.
+  constexpr base::duration LateStart = std::chrono::milliseconds(50);
   ++Measures.Requests;
+  Measures.SentLate += Record.Sent - Record.Plan.At > LateStart ? 1 : 0;
   if (!succeeded(Record)) {
     ++Measures.Errors[std::to_string(Record.Status) + " " + Record.Code];
     return;
--- a/packages/cli/src/load_measures.h
+++ b/packages/cli/src/load_measures.h
@@ -26,6 +26,8 @@
 struct load_measures {
   std::uint64_t Requests = 0;
   std::uint64_t Succeeded = 0;
+  /// Requests sent late because all connections waited for answers.
+  std::uint64_t SentLate = 0;
   std::map<std::string, std::uint64_t> Errors;
   base::latency_summary Reads;
   base::latency_summary Writes;
--- a/packages/cli/src/load_options.cpp
+++ b/packages/cli/src/load_options.cpp
@@ -32,7 +32,7 @@
     option_row{"plot", "file for an SVG of rates and write gaps"},
     option_row{"duration_ms", "length of the run (default 10000)"},
     option_row{"seed", "seed of the arrivals (default 1)"},
-    option_row{"connections", "requests in flight at most (default 32)"},
+    option_row{"connections", "requests in flight at most (default 256)"},
     option_row{"hosts", "daemons of a profile (default 3)"},
     option_row{"read_percent", "share of reads (default 70)"},
     option_row{"keyed_percent",
--- a/packages/cli/src/load_options.h
+++ b/packages/cli/src/load_options.h
@@ -25,7 +25,8 @@
   std::string PlotFile;
   std::int64_t DurationMilliseconds = 10'000;
   std::int64_t Seed = 1;
-  std::int64_t Connections = 32;
+  /// Large enough for what a silent backend server holds up to its deadline.
+  std::int64_t Connections = 256;
   std::int64_t Hosts = 3;
   std::int64_t ReadPercent = 70;
   /// Share of the writes that carry an idempotency key.
--- a/packages/cli/src/load_report.cpp
+++ b/packages/cli/src/load_report.cpp
@@ -96,6 +96,9 @@
   Out << "requests         " << Measures.Requests << ", succeeded "
       << Measures.Succeeded << ", "
       << static_cast<double>(Measures.Succeeded) / Seconds << "/s\n";
+  if (Measures.SentLate > 0)
+    Out << "sent late        " << Measures.SentLate
+        << " (all connections were in use; measures of other groups suffer)\n";
   Out << "latency ms     count       p50       p99     p99.9       max\n";
   printLatency("reads", Measures.Reads, Out);
   printLatency("writes", Measures.Writes, Out);
@@ -124,6 +127,7 @@
   Object["duration_ms"] = milliseconds(Report.Length);
   Object["requests"] = Measures.Requests;
   Object["succeeded"] = Measures.Succeeded;
+  Object["sent_late"] = Measures.SentLate;
   Object["reads"] = Measures.Reads.dump();
   Object["writes"] = Measures.Writes.dump();
   if (Report.Direct) {
--- a/packages/cli/src/load_runner.cpp
+++ b/packages/cli/src/load_runner.cpp
@@ -6,9 +6,17 @@
 
 namespace {
 
-/// A repeated keyed write keeps its key, so that it takes effect once.
 constexpr int MostAttempts = 3;
 
+/// A refused connection ran nothing; the platform's balancer would have chosen
+/// another host. A keyed write keeps its key, so that it takes effect once.
+bool mayRepeat(const route_answer &Answer, request_kind Kind) {
+  if (Answer.Code == ConnectionRefused)
+    return true;
+  return Answer.Ran == groups::ran_state::Unknown &&
+         Kind == request_kind::KeyedWrite;
+}
+
 } // namespace
 
 load_runner::load_runner(runner_options Options, client_factory MakeClient)
@@ -55,9 +63,8 @@
   route_answer Answer;
   for (int Attempt = 0; Attempt < MostAttempts; ++Attempt) {
     Answer = Client.call(Call);
-    bool IsUnknown = Answer.Ran == groups::ran_state::Unknown;
-    WasUnknown = WasUnknown || IsUnknown;
-    if (!IsUnknown || Call.Kind != request_kind::KeyedWrite)
+    WasUnknown = WasUnknown || Answer.Ran == groups::ran_state::Unknown;
+    if (!mayRepeat(Answer, Call.Kind))
       break;
     Call.Host = (Call.Host + 1) % Options.Arrivals.Hosts;
   }
--- a/packages/cli/src/load_runner.h
+++ b/packages/cli/src/load_runner.h
@@ -49,7 +49,8 @@
   void work(std::size_t Worker);
   std::optional<planned_request> takeNext();
   request_record send(route_client &Client, const planned_request &Plan);
-  /// Calls, and repeats a keyed write with an unknown outcome on other hosts.
+  /// Calls, and repeats on other hosts after a refused connection and for a
+  /// keyed write with an unknown outcome.
   route_answer callRepeatedly(route_client &Client, route_call Call) const;
 
   runner_options Options;
--- a/packages/cli/src/local_deployment_faults.cpp
+++ b/packages/cli/src/local_deployment_faults.cpp
@@ -90,6 +90,13 @@
   auto Current = callOperator(Endpoint, {"GET", "/v1/configuration"});
   if (!Current)
     return Current.error();
+  // Without a version the patch would be unconditional, and a daemon without
+  // the configuration API may answer any path with its state.
+  if (Current->Status != HttpOk || Current->Version.empty())
+    return stepFailure(Endpoint.Address,
+                       "GET /v1/configuration answered " +
+                           std::to_string(Current->Status) +
+                           (Current->Version.empty() ? " without ETag" : ""));
   std::size_t Slash = Target.find('/');
   base::json Operation = base::json::object();
   Operation["op"] = "withdraw_key";
--- a/packages/cli/src/route_answer.h
+++ b/packages/cli/src/route_answer.h
@@ -5,9 +5,13 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace radishrelay::cli {
 
+/// Code of an answer when the host accepted no connection.
+constexpr std::string_view ConnectionRefused = "connection_refused";
+
 /// What came back for a route_call.
 struct route_answer {
   /// HTTP status; 0 when no answer came.
