Write log lines on a thread of their own; share the first configuration; document

Cause: a slow reader of standard error would have held up the decision thread; the load tool stored a configuration without its version row, so that daemons never adopted it; clang-tidy found lambdas that clang 14 rejects and a signal sent to a thread.

--- a/packages/base/include/radishrelay/base/log.h
+++ b/packages/base/include/radishrelay/base/log.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <thread>
 
 namespace radishrelay::base {
 
@@ -24,6 +25,23 @@
 void logEvent(log_level Level, std::string_view Event,
               const json &Fields = json::object());
 
+/// Starts a thread that writes the log lines, so that a slow reader of standard
+/// error holds up no other thread. When it falls too far behind, lines are
+/// dropped, and a line "log lines dropped" tells how many.
+class log_writer {
+public:
+  log_writer();
+  /// Writes the lines that wait, then ends the thread.
+  ~log_writer();
+  log_writer(const log_writer &) = delete;
+  log_writer &operator=(const log_writer &) = delete;
+
+private:
+  void run();
+
+  std::thread Thread;
+};
+
 /// Returns the failure as log fields "error", "step", "peer", "detail".
 json logFields(const failure &Failure);
 
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -1,5 +1,7 @@
 #include "radishrelay/base/log.h"
 
+#include "radishrelay/base/bounded_ring.h"
+
 #include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeFormatter.h>
 #include <Poco/Timestamp.h>
@@ -20,6 +22,17 @@
 constexpr std::array<std::string_view, 4> LevelNames{"debug", "info", "warning",
                                                      "error"};
 
+/// Lines that may wait for the writer.
+constexpr std::size_t WaitingLines = 8192;
+
+std::atomic<bool> WriterRuns{false};
+std::atomic<std::uint64_t> DroppedLines{0};
+
+bounded_ring<std::string> &waitingLines() {
+  static bounded_ring<std::string> Lines(WaitingLines);
+  return Lines;
+}
+
 std::string_view levelName(log_level Level) {
   return LevelNames.at(static_cast<std::size_t>(Level));
 }
@@ -67,7 +80,36 @@
   Line["event"] = Event;
   Line.update(Fields);
   std::string Text = Line.dump(-1, ' ', false, json::error_handler_t::replace);
-  LOG(INFO) << Text;
+  if (!WriterRuns.load())
+    LOG(INFO) << Text;
+  else if (!waitingLines().tryPush(std::move(Text)))
+    ++DroppedLines;
+}
+
+log_writer::log_writer() {
+  WriterRuns = true;
+  Thread = std::thread([this] { run(); });
+}
+
+log_writer::~log_writer() {
+  WriterRuns = false;
+  Thread.join();
+  while (std::optional<std::string> Line = waitingLines().tryPop())
+    LOG(INFO) << *Line;
+}
+
+void log_writer::run() {
+  constexpr auto CheckInterval = std::chrono::milliseconds(100);
+  while (WriterRuns.load()) {
+    auto Deadline = monotonic_clock::now() + CheckInterval;
+    if (std::optional<std::string> Line = waitingLines().popUntil(Deadline))
+      LOG(INFO) << *Line;
+    if (std::uint64_t Dropped = DroppedLines.exchange(0)) {
+      json Fields = json::object();
+      Fields["count"] = Dropped;
+      logEvent(log_level::Warning, "log lines dropped", Fields);
+    }
+  }
 }
 
 json logFields(const failure &Failure) {
--- a/packages/cli/src/config_init_command.cpp
+++ b/packages/cli/src/config_init_command.cpp
@@ -1,9 +1,8 @@
 #include "config_init_command.h"
 
+#include "first_configuration.h"
+
 #include "radishrelay/cli/command_options.h"
-#include "radishrelay/fleet/configuration_document.h"
-#include "radishrelay/fleet/configuration_rows.h"
-#include "radishrelay/platform/platform_client.h"
 
 #include <fstream>
 #include <iterator>
@@ -32,20 +31,6 @@
   return std::nullopt;
 }
 
-/// Writes the first version, only if the store has none.
-base::store_request
-firstVersion(const fleet::configuration_document &Document) {
-  base::json Version = base::json::object();
-  Version["version"] = Document.Version;
-  Version["digest"] = fleet::configurationDigest(Document);
-  base::store_transaction Transaction;
-  Transaction.Conditions.push_back({fleet::currentRow(), 0});
-  Transaction.Writes.push_back(
-      {fleet::currentRow(), fleet::formatConfiguration(Document)});
-  Transaction.Writes.push_back({fleet::versionRow(), Version});
-  return Transaction;
-}
-
 } // namespace
 
 exit_code runConfigInit(const std::vector<std::string> &Arguments,
@@ -63,10 +48,8 @@
   auto Document = readDocument((*Values)["file"].as<std::string>(), Streams);
   if (!Document)
     return exit_code::Usage;
-  constexpr base::duration Timeout = std::chrono::seconds(10);
-  platform::platform_client Client((*Values)["platform"].as<std::string>());
-  base::store_answer Answer = Client.execute(
-      firstVersion(*Document), base::monotonic_clock::now() + Timeout);
+  base::store_answer Answer = storeFirstConfiguration(
+      (*Values)["platform"].as<std::string>(), *Document);
   if (Answer.Outcome == base::store_outcome::Done) {
     Streams.Out << "version " << Document->Version << " stored\n";
     return exit_code::Success;
--- a/packages/cli/src/local_deployment.cpp
+++ b/packages/cli/src/local_deployment.cpp
@@ -1,5 +1,7 @@
 #include "local_deployment.h"
 
+#include "first_configuration.h"
+
 #include "free_port.h"
 #include "load_configuration.h"
 
@@ -8,10 +10,8 @@
 #include "radishrelay/groups/request_statements.h"
 #include "radishrelay/platform/platform_client.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Path.h>
+#include <Poco/Thread.h>
 
 #include <filesystem>
 #include <fstream>
@@ -40,20 +40,6 @@
   return (Own.parent_path() / "daemon" / "radishrelayd").string();
 }
 
-void postTransaction(const std::string &Address, const base::json &Body) {
-  std::string Text = Body.dump();
-  Poco::Net::HTTPClientSession Session{Poco::Net::SocketAddress(Address)};
-  Poco::Net::HTTPRequest Request("POST", "/transactions",
-                                 Poco::Net::HTTPRequest::HTTP_1_1);
-  Request.setContentType("application/json");
-  Request.setContentLength64(static_cast<Poco::Int64>(Text.size()));
-  Session.sendRequest(Request) << Text;
-  Poco::Net::HTTPResponse Response;
-  Session.receiveResponse(Response);
-  if (Response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
-    throw std::runtime_error("the platform refused the configuration");
-}
-
 } // namespace
 
 local_deployment::local_deployment(const load_profile &Profile,
@@ -80,6 +66,10 @@
     if (!Host.Process->awaitEvent("ready", StartSeconds))
       throw std::runtime_error(Host.Name + " did not become ready:\n" +
                                Host.Process->lastLines(LogLinesShown));
+  // The hosts of a fleet that starts as a whole have no tokens until shares
+  // that an earlier fleet may have handed out have ended.
+  constexpr long FirstTokensMilliseconds = 9000;
+  Poco::Thread::sleep(FirstTokensMilliseconds);
 }
 
 void local_deployment::startGroups(const load_profile &Profile,
@@ -116,14 +106,10 @@
   if (!Parsed)
     throw std::runtime_error("configuration: " + Parsed.error()[0].Place + " " +
                              Parsed.error()[0].Message);
-  base::json Write = base::json::object();
-  Write["table"] = "configuration";
-  Write["key"] = "current";
-  Write["value"] = fleet::formatConfiguration(*Parsed);
-  base::json Transaction = base::json::object();
-  Transaction["reads"] = base::json::array();
-  Transaction["writes"] = base::json::array({Write});
-  postTransaction(Platform.address(), Transaction);
+  base::store_answer Stored =
+      storeFirstConfiguration(Platform.address(), *Parsed);
+  if (Stored.Outcome != base::store_outcome::Done)
+    throw std::runtime_error("the platform refused the configuration");
 }
 
 std::string local_deployment::settingsFile(const host &Host) const {
--- a/packages/cli/src/local_deployment_faults.cpp
+++ b/packages/cli/src/local_deployment_faults.cpp
@@ -99,7 +99,7 @@
                            (Current->Version.empty() ? " without ETag" : ""));
   std::size_t Slash = Target.find('/');
   base::json Operation = base::json::object();
-  Operation["op"] = "withdraw_key";
+  Operation["operation"] = "withdraw_key";
   Operation["account"] = Target.substr(0, Slash);
   Operation["key"] = Target.substr(Slash + 1);
   Operation["force"] = true;
--- a/packages/daemon/main/radishrelayd.cpp
+++ b/packages/daemon/main/radishrelayd.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -30,19 +31,28 @@
   return Signals;
 }
 
+/// Waits a short while for one of the signals, so that the waiting thread also
+/// ends when the stop came from an operator.
+bool isStopRequested(const sigset_t &Signals) {
+  constexpr long CheckNanoseconds = 100'000'000;
+  timespec Timeout{0, CheckNanoseconds};
+  return sigtimedwait(&Signals, nullptr, &Timeout) > 0;
+}
+
 int runDaemon(const daemon::daemon_settings &Settings) {
   base::configureLog(base::parseLogLevel(Settings.LogLevel));
   sigset_t Signals = blockStopSignals();
+  base::log_writer LogWriter;
   try {
     daemon::daemon_process Process(Settings);
+    std::atomic<bool> Ended{false};
     std::thread Waiter([&] {
-      int Signal = 0;
-      sigwait(&Signals, &Signal);
-      Process.requestStop();
+      while (!Ended)
+        if (isStopRequested(Signals))
+          Process.requestStop();
     });
     Process.wait();
-    // Ends the waiter when the stop came from an operator.
-    pthread_kill(Waiter.native_handle(), SIGTERM);
+    Ended = true;
     Waiter.join();
     base::logEvent(base::log_level::Info, "stopped");
     return Success;
--- a/packages/daemon/src/daemon_process.cpp
+++ b/packages/daemon/src/daemon_process.cpp
@@ -64,10 +64,10 @@
       : Settings(Settings), Seal(Settings.PeersSecret),
         Relay(relayOptions(Settings), *this, Metrics,
               base::monotonic_clock::now()),
-        Backend({}, [this](auto &&Event) { push(std::move(Event)); }),
+        Backend({}, [this](auto Event) { push(std::move(Event)); }),
         Platform(Settings.PlatformAddress,
-                 [this](auto &&Event) { push(std::move(Event)); }),
-        PeerClient(Seal, [this](auto &&Event) { push(std::move(Event)); }),
+                 [this](auto Event) { push(std::move(Event)); }),
+        PeerClient(Seal, [this](auto Event) { push(std::move(Event)); }),
         Datagrams(Settings.PeersAddress, Seal,
                   [this](std::string &&Message, const std::string &Sender) {
                     push(datagram_received{std::move(Message), Sender});
--- a/packages/daemon/src/relay.cpp
+++ b/packages/daemon/src/relay.cpp
@@ -59,8 +59,7 @@
 
 void relay::handle(relay_event &&Event, base::time_point Time) {
   Now = Time;
-  std::visit([this](auto &&Content) { on(std::move(Content)); },
-             std::move(Event));
+  std::visit([this](auto &Content) { on(std::move(Content)); }, Event);
 }
 
 void relay::tick(base::time_point Time) {
--- a/packages/daemon/src/relay_groups.cpp
+++ b/packages/daemon/src/relay_groups.cpp
@@ -22,8 +22,9 @@
 void relay::updateGroups(const fleet::configuration_document &Document) {
   std::vector<base::group_id> Gone;
   for (const auto &[Id, Entry] : Groups) {
-    auto IsSame = [&Entry](const fleet::database_group &Group) {
-      return Group == Entry.Definition;
+    auto IsSame = [&Known =
+                       Entry.Definition](const fleet::database_group &Group) {
+      return Group == Known;
     };
     if (std::none_of(Document.Groups.begin(), Document.Groups.end(), IsSame))
       Gone.push_back(Id);
--- a/sessions/sessions_test.cpp
+++ b/sessions/sessions_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <Poco/Environment.h>
+#include <Poco/TemporaryFile.h>
 
 #include <algorithm>
 #include <filesystem>
@@ -50,6 +51,28 @@
   BOOST_TEST(Transcript == readFile(Golden));
 }
 
+/// Exit code of "radishrelayd --check-settings" for the text.
+int checkSettings(const std::string &Text, std::string &Error) {
+  Poco::TemporaryFile File;
+  std::ofstream(File.path()) << Text;
+  test_process Program(RADISHRELAY_DAEMON_PROGRAM,
+                       {"--check-settings", File.path()}, json_stream::Error);
+  int Code = Program.wait();
+  Error = Program.output();
+  return Code;
+}
+
+BOOST_AUTO_TEST_CASE(do_not_start_with_wrong_settings) {
+  const std::string Right = "[host]\nid = h1\nfailure_domain = boston\n"
+                            "[peers]\nsecret = sixteen letters or more\n"
+                            "[platform]\naddress = 127.0.0.1:1\n";
+  std::string Error;
+  BOOST_TEST(checkSettings(Right, Error) == 0);
+  BOOST_TEST(checkSettings(Right + "[log]\nlevel = loud\n", Error) == 2);
+  BOOST_TEST(checkSettings("[host]\nid = h1\n", Error) == 2);
+  BOOST_TEST(checkSettings(Right + "[callers]\nadress = x\n", Error) == 2);
+}
+
 BOOST_AUTO_TEST_CASE(leave_no_key_or_token_outside_the_caller_listener) {
   deployment Deployment;
   session_script Script(Deployment);
