--- a/packages/daemon/src/relay.cpp
+++ b/packages/daemon/src/relay.cpp
@@ -105,7 +105,12 @@
     return Refusal(problem_code::ConfigurationStale,
                    "no recent contact with the store or the witnesses", 1);
   if (Request.Key && !isKeyInForce(*Request.Key))
-    return Refusal(problem_code::KeyInvalid, "unknown or withdrawn key", 0);
+    return problem{problem_code::KeyInvalid,
+                   groups::ran_state::No,
+                   "unknown or withdrawn key",
+                   "verify key",
+                   "",
+                   0};
   if (TasksByCaller.size() >= Options.MaxRequestsInFlight)
     return Refusal(problem_code::Overloaded, "too many requests in flight", 1);
   if (Request.Transaction.empty() && !Groups.count(Request.Group))
--- a/packages/daemon/src/request_reader.cpp
+++ b/packages/daemon/src/request_reader.cpp
@@ -41,7 +41,7 @@
                               &reader::readBody};
     for (step Step : Steps)
       if (!(this->*Step)())
-        return Problem;
+        return withStep(Problem);
     return std::move(Result);
   }
 
@@ -51,6 +51,15 @@
     return false;
   }
 
+  /// The decision thread names the same step when a key is withdrawn between
+  /// the two checks.
+  static problem withStep(problem Problem) {
+    if (Problem.Code == problem_code::KeyMissing ||
+        Problem.Code == problem_code::KeyInvalid)
+      Problem.Step = "verify key";
+    return Problem;
+  }
+
   bool readTarget() {
     std::string_view Path = Request.Path;
     bool IsRoute = Path.starts_with(RoutePrefix);
