Keep the host slot until running work has ended during a drain

Cause: a drain gave the host slot back as soon as it refused new work. Without the slot the connection quota is 0, so an open transaction could commit but found no majority to acknowledge it. Change: loans, shares and slot are handed over once no request or transaction runs; answers of a draining host ask the caller to close the connection. Ruled out: keeping the quota after the slot was released, since another host may then claim the slot and the sum of connections passes the limit.

--- a/packages/daemon/include/radishrelay/daemon/relay.h
+++ b/packages/daemon/include/radishrelay/daemon/relay.h
@@ -178,6 +178,8 @@
   base::time_point NextHostListRead;
   bool HeldSlot = false;
   bool ReportedReady = false;
+  bool HandOverDue = false;
+  bool HandOverStarted = false;
 };
 
 } // namespace radishrelay::daemon
--- a/packages/daemon/src/relay.cpp
+++ b/packages/daemon/src/relay.cpp
@@ -264,6 +264,7 @@
   Metrics.increment({"radishrelay_requests_refused_total", "code",
                      std::string(codeName(Problem.Code))});
   http_answer Answer = problemAnswer(Request.Connection, Problem);
+  Answer.CloseConnection = !Drain.isReady();
   if (!Forwarder.replyToPeer(Answer, Request.ReceivedAt))
     Outputs.answerCaller(std::move(Answer));
 }
@@ -277,6 +278,9 @@
 
 void relay::finishTask(request_task &Task, http_answer &&Answer) {
   Answer.Connection = Task.Request.Connection;
+  // A caller that kept its connection would send its next request to a host
+  // that is about to end.
+  Answer.CloseConnection = !Drain.isReady();
   Metrics.increment(
       {"radishrelay_requests_total", "status", std::to_string(Answer.Status)});
   Metrics.observe({"radishrelay_request_seconds"},
--- a/packages/daemon/src/relay_operators.cpp
+++ b/packages/daemon/src/relay_operators.cpp
@@ -218,8 +218,15 @@
 void relay::advanceDrain() {
   if (Drain.isReady())
     return;
-  apply(Drain.onRunning(TasksByCaller.size() + Transactions.openCount(), Now));
-  if (Limits.drained(Now))
+  std::size_t Running = TasksByCaller.size() + Transactions.openCount();
+  // Without its slot the host may hold no connections, and running writes
+  // could not be acknowledged any more.
+  if (HandOverDue && Running == 0 && !HandOverStarted) {
+    HandOverStarted = true;
+    Limits.drain(Now);
+  }
+  apply(Drain.onRunning(Running, Now));
+  if (HandOverStarted && Limits.drained(Now))
     apply(Drain.onHandedOver(Now));
   apply(Drain.tick(Now));
 }
@@ -239,9 +246,9 @@
               base::json::object());
 }
 
-void relay::on(const fleet::give_back_loans &) { Limits.drain(Now); }
+void relay::on(const fleet::give_back_loans &) { HandOverDue = true; }
 
-void relay::on(const fleet::hand_over_shares &) { Limits.drain(Now); }
+void relay::on(const fleet::hand_over_shares &) { HandOverDue = true; }
 
 void relay::on(const fleet::cut_running_work &) {
   base::json Fields = base::json::object();
--- a/sessions/http_exchange.cpp
+++ b/sessions/http_exchange.cpp
@@ -20,6 +20,8 @@
     Poco::Net::HTTPClientSession Session(
         Poco::Net::SocketAddress(Request.Address));
     Session.setTimeout(Poco::Timespan(TimeoutSeconds, 0));
+    // So that "Connection: close" in an answer is the host's own wish.
+    Session.setKeepAlive(true);
     Poco::Net::HTTPRequest Message(Request.Method, Request.Path,
                                    Poco::Net::HTTPRequest::HTTP_1_1);
     for (const auto &[Name, Value] : Request.Headers)
--- a/sessions/session_script.cpp
+++ b/sessions/session_script.cpp
@@ -187,6 +187,8 @@
     Transcript += " +session";
   if (!header(Answer, "Radishrelay-Repeated").empty())
     Transcript += " +repeated";
+  if (header(Answer, "Connection") == "close")
+    Transcript += " +close";
   if (!header(Answer, "Retry-After").empty())
     Transcript += " +retry-after";
   if (!header(Answer, "ETag").empty())
