--- /dev/null
+++ b/packages/accounts/include/radishrelay/accounts/lending_limiter.h
@@ -0,0 +1,79 @@
+#ifndef RADISHRELAY_ACCOUNTS_LENDING_LIMITER_H
+#define RADISHRELAY_ACCOUNTS_LENDING_LIMITER_H
+
+#include "radishrelay/accounts/account_limits.h"
+#include "radishrelay/accounts/token_bucket.h"
+#include "radishrelay/base/identifier.h"
+#include "radishrelay/base/json.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace radishrelay::accounts {
+
+/// Tokens of one account that a host asks another for, or gives it.
+struct token_transfer {
+  base::account_id Account;
+  /// Whole tokens.
+  std::int64_t Tokens = 0;
+
+  friend bool operator==(const token_transfer &,
+                         const token_transfer &) = default;
+};
+
+/// One host's part of the limits of all accounts, where each host holds an
+/// equal share and lends what it does not need.
+///
+/// A transfer takes tokens from the lender's bucket before it is sent, and a
+/// lost message loses them, so the hosts together never admit more than rate
+/// and burst as long as their shares sum to the whole.
+class lending_limiter {
+public:
+  /// Replaces limits and share. \p Part is this host's share of each limit; 0
+  /// while it holds none.
+  void configure(const std::map<base::account_id, account_limits> &Limits,
+                 millionths Part, base::time_point Now);
+
+  /// Takes a token if there is one.
+  bool take(const base::account_id &Account, base::time_point Now);
+  /// When the own share alone yields a token.
+  [[nodiscard]] base::time_point
+  nextTokenAt(const base::account_id &Account) const;
+
+  /// What to ask another host for now, if anything; at most one request for
+  /// each account in AskInterval.
+  std::vector<token_transfer> wishes(base::time_point Now);
+  /// Takes tokens out of the bucket for another host; empty when none can be
+  /// spared.
+  std::optional<token_transfer> lend(const token_transfer &Wish,
+                                     base::time_point Now);
+  void receive(const token_transfer &Gift, base::time_point Now);
+
+  [[nodiscard]] base::json dump() const;
+
+private:
+  struct account_state {
+    token_bucket Bucket;
+    /// Tokens received from other hosts; not capped by the own burst.
+    token_amount Borrowed = 0;
+    /// Borrowed tokens lapse, so that stored tokens stay within the burst.
+    base::time_point BorrowedUntil;
+    /// Requests, admitted or not, since CountedFrom.
+    std::int64_t Demand = 0;
+    base::time_point CountedFrom;
+    /// Requests a second in the last full interval.
+    double DemandRate = 0;
+    base::time_point AskedAt;
+    bool IsShort = false;
+  };
+
+  static void countDemand(account_state &State, base::time_point Now);
+  static std::int64_t wholeTokens(const account_state &State);
+
+  std::map<base::account_id, account_state> States;
+};
+
+} // namespace radishrelay::accounts
+
+#endif
--- /dev/null
+++ b/packages/accounts/src/lending_limiter.cpp
@@ -0,0 +1,146 @@
+#include "radishrelay/accounts/lending_limiter.h"
+
+#include <algorithm>
+
+namespace radishrelay::accounts {
+
+namespace {
+
+/// Demand is measured over so long; shorter intervals count too few requests.
+constexpr base::duration DemandInterval = std::chrono::milliseconds(1000);
+/// Some round trips between hosts.
+constexpr base::duration AskInterval = std::chrono::milliseconds(100);
+/// A loan covers the demand of this long, so that it is spent soon.
+constexpr double LoanSeconds = 0.5;
+/// Below the demand of this long a host asks, so that the loan arrives in time.
+constexpr double LowLevelSeconds = 0.2;
+/// What a lender keeps for its own callers.
+constexpr double ReserveSeconds = 0.3;
+constexpr std::int64_t SmallestLoan = 2;
+/// Twice the time in which a loan is expected to be spent.
+constexpr base::duration LoanLifetime = std::chrono::milliseconds(1000);
+
+} // namespace
+
+void lending_limiter::configure(
+    const std::map<base::account_id, account_limits> &Limits, millionths Part,
+    base::time_point Now) {
+  std::erase_if(
+      States, [&](const auto &Entry) { return !Limits.contains(Entry.first); });
+  for (const auto &[Account, Limit] : Limits) {
+    token_share Share = shareOf(Limit, Part);
+    auto [Entry, IsNew] = States.try_emplace(Account);
+    if (IsNew) {
+      Entry->second.Bucket = token_bucket(Share, Now);
+      Entry->second.CountedFrom = Now;
+    } else {
+      bool IsLowered = Share.Rate < Entry->second.Bucket.share().Rate;
+      Entry->second.Bucket.setShare(Share, Now);
+      if (IsLowered)
+        Entry->second.Borrowed = std::min(Entry->second.Borrowed, Share.Burst);
+    }
+  }
+}
+
+void lending_limiter::countDemand(account_state &State, base::time_point Now) {
+  if (Now > State.BorrowedUntil)
+    State.Borrowed = 0;
+  base::duration Elapsed = Now - State.CountedFrom;
+  if (Elapsed >= DemandInterval) {
+    State.DemandRate = static_cast<double>(State.Demand) * 1e6 /
+                       static_cast<double>(Elapsed.count());
+    State.Demand = 0;
+    State.CountedFrom = Now;
+  }
+}
+
+std::int64_t lending_limiter::wholeTokens(const account_state &State) {
+  return (State.Bucket.level() + State.Borrowed) / OneToken;
+}
+
+bool lending_limiter::take(const base::account_id &Account,
+                           base::time_point Now) {
+  auto Entry = States.find(Account);
+  if (Entry == States.end())
+    return false;
+  account_state &State = Entry->second;
+  countDemand(State, Now);
+  ++State.Demand;
+  State.Bucket.refill(Now);
+  if (State.Borrowed >= OneToken) {
+    State.Borrowed -= OneToken;
+    return true;
+  }
+  bool IsTaken = State.Bucket.take(OneToken);
+  if (!IsTaken)
+    State.IsShort = true;
+  return IsTaken;
+}
+
+base::time_point
+lending_limiter::nextTokenAt(const base::account_id &Account) const {
+  auto Entry = States.find(Account);
+  return Entry == States.end() ? base::time_point::max()
+                               : Entry->second.Bucket.reaches(OneToken);
+}
+
+std::vector<token_transfer> lending_limiter::wishes(base::time_point Now) {
+  std::vector<token_transfer> Result;
+  for (auto &[Account, State] : States) {
+    countDemand(State, Now);
+    State.Bucket.refill(Now);
+    double Rate = std::max(
+        State.DemandRate,
+        static_cast<double>(State.Demand)); // the interval has just begun
+    double OwnRate = static_cast<double>(State.Bucket.share().Rate) * 1e6 /
+                     static_cast<double>(OneToken);
+    bool IsLow =
+        static_cast<double>(wholeTokens(State)) < Rate * LowLevelSeconds &&
+        Rate > OwnRate;
+    if ((!IsLow && !State.IsShort) || Now < State.AskedAt + AskInterval)
+      continue;
+    State.AskedAt = Now;
+    State.IsShort = false;
+    auto Wanted = static_cast<std::int64_t>(Rate * LoanSeconds);
+    Result.push_back({Account, std::max(SmallestLoan, Wanted)});
+  }
+  return Result;
+}
+
+std::optional<token_transfer> lending_limiter::lend(const token_transfer &Wish,
+                                                    base::time_point Now) {
+  auto Entry = States.find(Wish.Account);
+  if (Entry == States.end())
+    return std::nullopt;
+  account_state &State = Entry->second;
+  countDemand(State, Now);
+  State.Bucket.refill(Now);
+  auto Reserve =
+      static_cast<std::int64_t>(State.DemandRate * ReserveSeconds + 0.5);
+  std::int64_t Own = State.Bucket.level() / OneToken;
+  std::int64_t Amount = std::min({Wish.Tokens, Own - Reserve, Own});
+  if (Amount <= 0 || !State.Bucket.take(Amount * OneToken))
+    return std::nullopt;
+  return token_transfer{Wish.Account, Amount};
+}
+
+void lending_limiter::receive(const token_transfer &Gift,
+                              base::time_point Now) {
+  auto Entry = States.find(Gift.Account);
+  if (Entry == States.end() || Gift.Tokens <= 0)
+    return;
+  account_state &State = Entry->second;
+  countDemand(State, Now);
+  State.Borrowed += Gift.Tokens * OneToken;
+  State.BorrowedUntil = Now + LoanLifetime;
+}
+
+base::json lending_limiter::dump() const {
+  base::json Result = base::json::object();
+  for (const auto &[Account, State] : States)
+    Result[Account.str()] = {{"tokens", wholeTokens(State)},
+                             {"demand_per_second", State.DemandRate}};
+  return Result;
+}
+
+} // namespace radishrelay::accounts
--- a/packages/cli/src/first_configuration.cpp
+++ b/packages/cli/src/first_configuration.cpp
@@ -1,7 +1,7 @@
 #include "first_configuration.h"
 
 #include "radishrelay/fleet/configuration_rows.h"
-#include "radishrelay/platform/platform_client.h"
+#include "radishrelay/tables/table_client.h"
 
 namespace radishrelay::cli {
 
@@ -17,7 +17,7 @@
   Transaction.Writes.push_back(
       {fleet::currentRow(), fleet::formatConfiguration(Document)});
   Transaction.Writes.push_back({fleet::versionRow(), Version});
-  platform::platform_client Client(PlatformAddress);
+  tables::table_client Client(PlatformAddress);
   return Client.execute(Transaction, base::monotonic_clock::now() + Timeout);
 }
 
--- a/packages/cli/src/local_deployment.cpp
+++ b/packages/cli/src/local_deployment.cpp
@@ -8,7 +8,7 @@
 #include "radishrelay/base/digest.h"
 #include "radishrelay/fleet/configuration_document.h"
 #include "radishrelay/groups/request_statements.h"
-#include "radishrelay/platform/platform_client.h"
+#include "radishrelay/tables/table_client.h"
 
 #include <Poco/Path.h>
 #include <Poco/Thread.h>
--- a/packages/cli/src/local_deployment.h
+++ b/packages/cli/src/local_deployment.h
@@ -8,7 +8,7 @@
 #include "load_profile.h"
 
 #include "radishrelay/backend/stand_in_group.h"
-#include "radishrelay/platform/stand_in_platform.h"
+#include "radishrelay/tables/stand_in_platform.h"
 
 #include <Poco/TemporaryFile.h>
 
@@ -64,7 +64,7 @@
   Poco::TemporaryFile Directory;
   std::string Program;
   std::string OperatorToken;
-  platform::stand_in_platform Platform;
+  tables::stand_in_platform Platform;
   std::vector<std::string> GroupNames;
   std::vector<std::unique_ptr<backend::stand_in_group>> Groups;
   std::vector<load_account> Accounts;
--- a/packages/cli/src/local_deployment_faults.cpp
+++ b/packages/cli/src/local_deployment_faults.cpp
@@ -22,8 +22,8 @@
   return "127.0.0.1:" + std::to_string(Port);
 }
 
-platform::stand_in_fault platformFault(const load_fault &Fault) {
-  using mode = platform::stand_in_fault_mode;
+tables::stand_in_fault platformFault(const load_fault &Fault) {
+  using mode = tables::stand_in_fault_mode;
   static const std::map<std::string, mode> Modes{
       {"none", mode::None},
       {"down", mode::Down},
--- a/packages/cli/src/stand_in_commands.cpp
+++ b/packages/cli/src/stand_in_commands.cpp
@@ -7,7 +7,7 @@
 #include "radishrelay/base/json.h"
 #include "radishrelay/cli/command_options.h"
 #include "radishrelay/groups/request_statements.h"
-#include "radishrelay/platform/stand_in_platform.h"
+#include "radishrelay/tables/stand_in_platform.h"
 
 #include <Poco/Exception.h>
 
@@ -102,7 +102,7 @@
     return Code;
   stop_signal Stop;
   try {
-    platform::stand_in_platform Platform((*Values)["port"].as<std::uint16_t>());
+    tables::stand_in_platform Platform((*Values)["port"].as<std::uint16_t>());
     Streams.Out << base::json{{"address", Platform.address()}}.dump()
                 << std::endl;
     Stop.wait();
--- a/packages/daemon/main/radishrelayd.cpp
+++ b/packages/daemon/main/radishrelayd.cpp
@@ -1,5 +1,8 @@
 #include "radishrelay/base/log.h"
 #include "radishrelay/daemon/daemon_process.h"
+#include "radishrelay/daemon/session_daemon.h"
+#include "radishrelay/platform/services.h"
+#include "radishrelay/platform/wire_protocol.h"
 
 #include <Poco/Exception.h>
 
@@ -65,10 +68,49 @@
   }
 }
 
+/// Serves sessions on the users' platform until it is told to stop.
+int runSessions(const daemon::session_settings &Settings) {
+  base::configureLog(base::parseLogLevel(Settings.LogLevel));
+  sigset_t Signals = blockStopSignals();
+  sigaddset(&Signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  base::log_writer LogWriter;
+  try {
+    platform::wire_protocol Protocol;
+    daemon::session_daemon Daemon(
+        Settings, Protocol,
+        platform::makeServices(
+            {Settings.StoreAddress, Settings.PromotionsAddress}));
+    std::atomic<bool> Ended{false};
+    std::thread Waiter([&] {
+      constexpr long CheckNanoseconds = 500'000'000;
+      timespec Timeout{0, CheckNanoseconds};
+      while (!Ended) {
+        int Signal = sigtimedwait(&Signals, nullptr, &Timeout);
+        if (Signal == SIGHUP)
+          Daemon.noteReload();
+        else if (Signal > 0)
+          Daemon.requestStop();
+      }
+    });
+    Daemon.run();
+    Ended = true;
+    Waiter.join();
+    base::logEvent(base::log_level::Info, "stopped");
+    return Success;
+  } catch (const Poco::Exception &Error) {
+    base::logEvent(base::log_level::Error, "cannot start",
+                   {{"error", Error.displayText()}, {"step", "start"}});
+    return Failed;
+  }
+}
+
 int runCommandLine(int Count, char **Values) {
   options::options_description Options("radishrelayd");
   auto Add = Options.add_options();
   Add("settings", options::value<std::string>(), "run with the settings file");
+  Add("serve-sessions", options::value<std::string>(),
+      "serve sessions on the users' platform with the settings file");
   Add("check-settings", options::value<std::string>(),
       "only check the settings file");
   Add("version", "print the version");
@@ -87,6 +129,14 @@
       std::cout << "radishrelayd 0.1.0\n";
     return Success;
   }
+  if (Parsed.count("serve-sessions")) {
+    auto Settings =
+        daemon::readSessionSettings(Parsed["serve-sessions"].as<std::string>());
+    if (Settings)
+      return runSessions(*Settings);
+    std::cerr << "radishrelayd: " << Settings.error() << "\n";
+    return Usage;
+  }
   bool OnlyCheck = Parsed.count("check-settings") > 0;
   if (!OnlyCheck && !Parsed.count("settings")) {
     std::cerr << "radishrelayd: --settings FILE is required\n" << Options;
--- /dev/null
+++ b/packages/daemon/src/decision_log.cpp
@@ -0,0 +1,38 @@
+#include "radishrelay/daemon/decision_log.h"
+
+#include "radishrelay/base/log.h"
+
+namespace radishrelay::daemon {
+
+namespace {
+
+/// Of the statements that were served, every so many are logged.
+constexpr std::uint64_t SampleInterval = 256;
+/// Failed statements that are logged in a second.
+constexpr std::uint32_t MaxFailuresPerSecond = 20;
+
+} // namespace
+
+void decision_log::belief(std::string_view Event, const base::json &Fields) {
+  base::logEvent(base::log_level::Info, Event, Fields);
+}
+
+void decision_log::decision(std::string_view Event, const base::json &Fields) {
+  base::logEvent(base::log_level::Info, Event, Fields);
+}
+
+bool decision_log::wantsDecision(bool IsFailure) {
+  if (!IsFailure)
+    return Successes++ % SampleInterval == 0;
+  base::time_point Now = base::monotonic_clock::now();
+  if (Now >= SecondStartedAt + std::chrono::seconds(1)) {
+    SecondStartedAt = Now;
+    FailuresThisSecond = 0;
+  }
+  if (FailuresThisSecond++ < MaxFailuresPerSecond)
+    return true;
+  Metrics.increment({"radishrelay_log_lines_suppressed_total"});
+  return false;
+}
+
+} // namespace radishrelay::daemon
--- /dev/null
+++ b/packages/daemon/src/line_stream.cpp
@@ -0,0 +1,200 @@
+#include "radishrelay/daemon/line_stream.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+
+namespace radishrelay::daemon {
+
+namespace {
+
+/// Bytes read at once; most messages are below one kilobyte.
+constexpr std::size_t ReadSize = 8192;
+/// Longest message of the protocol.
+constexpr std::size_t MaxLine = 1048576;
+/// A peer that acknowledges nothing for so long is taken as gone: below the
+/// time-outs of statements.
+constexpr unsigned SilenceMilliseconds = 3000;
+constexpr int KeepAliveSeconds = 2;
+constexpr int KeepAliveProbes = 2;
+constexpr int Backlog = 256;
+
+void setOption(int Descriptor, int Level, int Name, int Value) {
+  // Options only shorten the time in which a dead peer is noticed.
+  setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
+}
+
+void configure(int Descriptor) {
+  setOption(Descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(SilenceMilliseconds));
+}
+
+} // namespace
+
+line_stream::line_stream(event_loop &Loop, int Descriptor,
+                         line_stream_events Events)
+    : Loop(Loop), Descriptor(Descriptor), Events(std::move(Events)) {
+  configure(Descriptor);
+  // A connection that is being opened becomes writable once it is open.
+  WantsWrite = this->Events.Connected != nullptr;
+  IsConnected = !WantsWrite;
+  Loop.add(Descriptor, *this, WantsWrite);
+}
+
+line_stream::~line_stream() {
+  if (Descriptor < 0)
+    return;
+  Loop.remove(Descriptor);
+  close(Descriptor);
+}
+
+int line_stream::connect(const std::string &Address) {
+  try {
+    Poco::Net::SocketAddress Peer(Address);
+    int Socket =
+        socket(Peer.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (Socket < 0)
+      return -1;
+    int Result = ::connect(Socket, Peer.addr(), Peer.length());
+    if (Result == 0 || errno == EINPROGRESS)
+      return Socket;
+    close(Socket);
+  } catch (const Poco::Exception &) {
+    // An address that cannot be parsed cannot be reached either.
+    return -1;
+  }
+  return -1;
+}
+
+void line_stream::watchWrites(bool Wanted) {
+  if (Wanted == WantsWrite || HasEnded)
+    return;
+  WantsWrite = Wanted;
+  Loop.change(Descriptor, *this, Wanted);
+}
+
+void line_stream::end() {
+  if (HasEnded)
+    return;
+  HasEnded = true;
+  Loop.remove(Descriptor);
+  close(Descriptor);
+  Descriptor = -1;
+  if (Events.Ended)
+    Events.Ended();
+}
+
+void line_stream::flush() {
+  if (HasEnded || !IsConnected)
+    return;
+  std::size_t Sent = 0;
+  while (Sent < Output.size()) {
+    ssize_t Count = send(Descriptor, Output.data() + Sent, Output.size() - Sent,
+                         MSG_NOSIGNAL);
+    if (Count > 0) {
+      Sent += static_cast<std::size_t>(Count);
+      continue;
+    }
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      break;
+    end();
+    return;
+  }
+  Output.erase(0, Sent);
+  if (Output.empty() && IsClosing) {
+    end();
+    return;
+  }
+  watchWrites(!Output.empty());
+}
+
+void line_stream::closeAfterOutput() {
+  IsClosing = true;
+  flush();
+}
+
+void line_stream::writable() {
+  if (!IsConnected) {
+    int Error = 0;
+    socklen_t Size = sizeof(Error);
+    getsockopt(Descriptor, SOL_SOCKET, SO_ERROR, &Error, &Size);
+    if (Error != 0) {
+      end();
+      return;
+    }
+    IsConnected = true;
+    Events.Connected();
+  }
+  flush();
+}
+
+void line_stream::readable() {
+  std::array<char, ReadSize> Buffer;
+  bool IsAtEnd = false;
+  while (true) {
+    ssize_t Count = recv(Descriptor, Buffer.data(), Buffer.size(), 0);
+    if (Count > 0) {
+      Input.append(Buffer.data(), static_cast<std::size_t>(Count));
+      if (static_cast<std::size_t>(Count) == Buffer.size() &&
+          Input.size() < MaxLine)
+        continue;
+      break;
+    }
+    if (Count < 0 && errno == EINTR)
+      continue;
+    IsAtEnd = Count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    break;
+  }
+  deliverLines();
+  if (!HasEnded && (IsAtEnd || Input.size() > MaxLine))
+    end();
+}
+
+void line_stream::deliverLines() {
+  std::size_t Start = 0;
+  while (!HasEnded && !IsClosing) {
+    std::size_t End = Input.find('\n', Start);
+    if (End == std::string::npos)
+      break;
+    std::string_view Line(Input.data() + Start, End - Start);
+    if (Line.ends_with('\r'))
+      Line.remove_suffix(1);
+    Start = End + 1;
+    Events.Line(Line);
+  }
+  Input.erase(0, Start);
+}
+
+int listenOn(const std::string &Address) {
+  Poco::Net::SocketAddress Own(Address);
+  int Socket = socket(Own.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  setOption(Socket, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (bind(Socket, Own.addr(), Own.length()) != 0 ||
+      listen(Socket, Backlog) != 0) {
+    int Code = errno;
+    close(Socket);
+    throw Poco::Net::NetException("cannot listen on " + Address, Code);
+  }
+  return Socket;
+}
+
+int acceptFrom(int Listener) {
+  return accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+}
+
+} // namespace radishrelay::daemon
--- a/packages/daemon/src/platform_threads.cpp
+++ b/packages/daemon/src/platform_threads.cpp
@@ -1,6 +1,6 @@
 #include "radishrelay/daemon/platform_threads.h"
 
-#include "radishrelay/platform/platform_client.h"
+#include "radishrelay/tables/table_client.h"
 
 namespace radishrelay::daemon {
 
@@ -8,7 +8,7 @@
 
 constexpr auto IdleWait = std::chrono::seconds(1);
 
-std::optional<platform_event> execute(platform::platform_client &Client,
+std::optional<platform_event> execute(tables::table_client &Client,
                                       const platform_request &Request) {
   if (auto *Store = std::get_if<base::store_request>(&Request.Request))
     return store_finished{Request.Duty, Request.Id,
@@ -44,7 +44,7 @@
 }
 
 void platform_threads::run(lane &Lane) const {
-  platform::platform_client Client(Address);
+  tables::table_client Client(Address);
   while (true) {
     auto Request =
         Lane.Requests.popUntil(base::monotonic_clock::now() + IdleWait);
--- /dev/null
+++ b/packages/daemon/src/session_daemon.cpp
@@ -0,0 +1,405 @@
+#include "radishrelay/daemon/session_daemon.h"
+
+#include "radishrelay/base/log.h"
+#include "radishrelay/base/rendezvous.h"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timestamp.h>
+
+#include <unistd.h>
+
+#include <array>
+
+namespace radishrelay::daemon {
+
+namespace {
+
+using sessions::backend_number;
+using sessions::refusal;
+using sessions::session_number;
+
+constexpr std::size_t MaxDatagram = 1400;
+/// Of the time in which a leaving instance may get work, kept for the delay of
+/// the list and for statements that wait.
+constexpr base::duration LeavingMargin = std::chrono::milliseconds(2500);
+
+template <typename Number> std::uint64_t keyOf(Number Value) {
+  return static_cast<std::uint64_t>(Value);
+}
+
+sessions::engine_options engineOptions(const session_settings &Settings) {
+  sessions::engine_options Options;
+  Options.Host = base::host_id(Settings.HostId);
+  Options.Domain = base::failure_domain_id(Settings.FailureDomain);
+  Options.Incarnation = std::to_string(Poco::Timestamp().epochMicroseconds());
+  Options.PeerAddress = Settings.PeersAddress;
+  Options.RandomSeed = base::stableHash(Settings.HostId + Options.Incarnation);
+  base::duration Leaving =
+      std::chrono::milliseconds(Settings.LeavingMilliseconds);
+  Options.LeavingUse =
+      std::max(base::duration::zero(), Leaving - LeavingMargin);
+  // Half of the grace belongs to open transactions; the last sixth is kept for
+  // the end of the process.
+  base::duration Grace = std::chrono::milliseconds(Settings.GraceMilliseconds);
+  Options.DrainTransactions = Grace / 2 + std::chrono::milliseconds(100);
+  Options.DrainStatements = Grace * 5 / 6;
+  return Options;
+}
+
+} // namespace
+
+/// Accepts clients.
+class session_daemon::client_listener final : public io_handler {
+public:
+  client_listener(session_daemon &Daemon, const std::string &Address)
+      : Daemon(Daemon), Descriptor(listenOn(Address)) {
+    Daemon.Loop.add(Descriptor, *this, false);
+  }
+  ~client_listener() override {
+    Daemon.Loop.remove(Descriptor);
+    ::close(Descriptor);
+  }
+  void readable() override {
+    for (int Accepted = acceptFrom(Descriptor); Accepted >= 0;
+         Accepted = acceptFrom(Descriptor))
+      Daemon.addClient(Accepted);
+  }
+  void writable() override {}
+
+private:
+  session_daemon &Daemon;
+  int Descriptor;
+};
+
+/// Exchanges datagrams with other hosts.
+class session_daemon::datagram_socket final : public io_handler {
+public:
+  datagram_socket(session_daemon &Daemon, const std::string &Address)
+      : Daemon(Daemon), Socket(Poco::Net::SocketAddress(Address), false) {
+    Socket.setBlocking(false);
+    Daemon.Loop.add(Socket.impl()->sockfd(), *this, false);
+  }
+  ~datagram_socket() override { Daemon.Loop.remove(Socket.impl()->sockfd()); }
+  void readable() override {
+    std::array<char, MaxDatagram> Buffer{};
+    try {
+      while (Socket.available() > 0) {
+        int Count = Socket.receiveBytes(Buffer.data(), MaxDatagram);
+        if (Count <= 0)
+          return;
+        Daemon.Engine.datagramReceived(
+            std::string(Buffer.data(), static_cast<std::size_t>(Count)),
+            base::monotonic_clock::now());
+      }
+    } catch (const Poco::Exception &Error) {
+      // An earlier datagram was rejected; nothing was received.
+      base::logEvent(base::log_level::Debug, "datagram not received",
+                     {{"error", Error.displayText()}});
+    }
+  }
+  void writable() override {}
+  void send(const std::string &Address, const std::string &Bytes) {
+    try {
+      Socket.sendTo(Bytes.data(), static_cast<int>(Bytes.size()),
+                    Poco::Net::SocketAddress(Address));
+    } catch (const Poco::Exception &Error) {
+      // As if the datagram was lost, which its sender expects.
+      base::logEvent(base::log_level::Debug, "datagram not sent",
+                     {{"peer", Address}, {"error", Error.displayText()}});
+    }
+  }
+
+private:
+  session_daemon &Daemon;
+  Poco::Net::DatagramSocket Socket;
+};
+
+session_daemon::session_daemon(const session_settings &Settings,
+                               const sessions::session_protocol &Protocol,
+                               sessions::fleet_services NewServices)
+    : Settings(Settings), Protocol(Protocol), Log(Metrics),
+      Engine(engineOptions(Settings), *this, *this, *this, Log),
+      Listener(
+          std::make_unique<client_listener>(*this, Settings.SessionsAddress)),
+      Datagrams(
+          std::make_unique<datagram_socket>(*this, Settings.PeersAddress)) {
+  auto MakePage = [this](const std::string &Path) { return statusPage(Path); };
+  Readiness = std::make_unique<status_listener>(Loop, Settings.ReadinessAddress,
+                                                MakePage);
+  MetricsPages = std::make_unique<status_listener>(
+      Loop, Settings.MetricsAddress, MakePage);
+  Services = std::make_unique<service_threads>(std::move(NewServices), Loop,
+                                               serviceEvents());
+  base::logEvent(base::log_level::Info, "started",
+                 {{"host", Settings.HostId},
+                  {"domain", Settings.FailureDomain},
+                  {"sessions", Settings.SessionsAddress}});
+}
+
+session_daemon::~session_daemon() = default;
+
+service_events session_daemon::serviceEvents() {
+  service_events Events;
+  Events.Catalog = [this](sessions::catalog_ptr Catalog) {
+    Engine.setCatalog(std::move(Catalog), base::monotonic_clock::now());
+  };
+  Events.Instances = [this](auto List) {
+    base::time_point Now = base::monotonic_clock::now();
+    if (List)
+      Engine.setInstances(Listings.merge(std::move(*List), Now), Now);
+    else
+      Listings.noteFailure(Now);
+  };
+  Events.Answer = [this](auto Call, const base::store_answer &Answer) {
+    Engine.storeAnswered(Call, Answer, base::monotonic_clock::now());
+  };
+  Events.Promotion = [this](auto Call, bool Accepted) {
+    Engine.promotionAnswered(Call, Accepted, base::monotonic_clock::now());
+  };
+  Events.Dependency = [](std::string_view Service,
+                         const base::failure &Failure) {
+    base::json Fields = Failure ? base::logFields(Failure) : base::json();
+    Fields["service"] = Service;
+    base::logEvent(Failure ? base::log_level::Warning : base::log_level::Info,
+                   Failure ? "dependency lost" : "dependency regained", Fields);
+  };
+  return Events;
+}
+
+void session_daemon::run() {
+  while (!Engine.isDrained()) {
+    base::time_point Now = base::monotonic_clock::now();
+    Loop.runOnce(Engine.nextWake(Now));
+    Engine.advance(base::monotonic_clock::now());
+    flushOutputs();
+    Closing.clear();
+  }
+  base::logEvent(base::log_level::Info, "drained", {{"host", Settings.HostId}});
+}
+
+void session_daemon::requestStop() {
+  Loop.post([this] { Engine.drain(base::monotonic_clock::now()); });
+}
+
+void session_daemon::noteReload() {
+  // All settings are addresses and times of the host, which stay in force until
+  // the process starts again; the configuration comes from the store.
+  Loop.post([this] {
+    base::logEvent(base::log_level::Info, "reload requested; settings are kept",
+                   {{"host", Settings.HostId}});
+  });
+}
+
+void session_daemon::flushOutputs() {
+  // Sending may end a stream, whose end may cause further output.
+  while (!DirtyClients.empty() || !DirtyBackends.empty()) {
+    auto DueClients = std::exchange(DirtyClients, {});
+    for (session_number Session : DueClients)
+      if (auto Entry = Clients.find(keyOf(Session)); Entry != Clients.end())
+        Entry->second.Stream->flush();
+    auto DueBackends = std::exchange(DirtyBackends, {});
+    for (backend_number Connection : DueBackends)
+      if (auto Entry = Backends.find(keyOf(Connection));
+          Entry != Backends.end())
+        Entry->second.Stream->flush();
+  }
+}
+
+void session_daemon::addClient(int Descriptor) {
+  session_number Session{++LastSession};
+  client &Client = Clients[keyOf(Session)];
+  line_stream_events Events;
+  Events.Line = [this, Session](std::string_view Line) {
+    Engine.clientMessage(Session, Protocol.decodeClientLine(Line),
+                         base::monotonic_clock::now());
+  };
+  Events.Ended = [this, Session] { clientEnded(Session); };
+  Client.Stream =
+      std::make_unique<line_stream>(Loop, Descriptor, std::move(Events));
+}
+
+void session_daemon::clientEnded(session_number Session) {
+  auto Entry = Clients.extract(keyOf(Session));
+  if (Entry.empty())
+    return;
+  Closing.push_back(std::move(Entry.mapped().Stream));
+  Engine.clientGone(Session, base::monotonic_clock::now());
+}
+
+void session_daemon::accept(session_number Session) {
+  auto Entry = Clients.find(keyOf(Session));
+  if (Entry == Clients.end())
+    return;
+  Protocol.encodeAccepted(Entry->second.Stream->output());
+  DirtyClients.push_back(Session);
+}
+
+void session_daemon::reject(session_number Session, refusal Reason,
+                            const std::string &Text) {
+  auto Entry = Clients.find(keyOf(Session));
+  if (Entry == Clients.end())
+    return;
+  Protocol.encodeRejected(Reason, Text, Entry->second.Stream->output());
+  close(Session);
+}
+
+void session_daemon::answer(session_number Session,
+                            const sessions::client_answer &Answer) {
+  auto Entry = Clients.find(keyOf(Session));
+  if (Entry == Clients.end())
+    return;
+  Protocol.encode(Answer, Entry->second.Stream->output());
+  DirtyClients.push_back(Session);
+}
+
+void session_daemon::close(session_number Session) {
+  auto Entry = Clients.find(keyOf(Session));
+  if (Entry != Clients.end())
+    Loop.post([this, Session] {
+      auto Client = Clients.find(keyOf(Session));
+      if (Client != Clients.end())
+        Client->second.Stream->closeAfterOutput();
+    });
+}
+
+void session_daemon::open(backend_number Connection,
+                          const sessions::instance_listing &Instance,
+                          const base::account_id &Account) {
+  int Descriptor = line_stream::connect(Instance.Address);
+  if (Descriptor < 0) {
+    Loop.post([this, Connection] {
+      Engine.backendLost(Connection, std::nullopt,
+                         base::monotonic_clock::now());
+    });
+    return;
+  }
+  backend &Backend = Backends[keyOf(Connection)];
+  line_stream_events Events;
+  Events.Connected = [] {};
+  Events.Line = [this, Connection](std::string_view Line) {
+    backendLine(Connection, Line);
+  };
+  Events.Ended = [this, Connection] { backendEnded(Connection); };
+  Backend.Stream =
+      std::make_unique<line_stream>(Loop, Descriptor, std::move(Events));
+  Protocol.encodeStart(Instance.Group, Account, Instance.Instance,
+                       Backend.Stream->output());
+}
+
+void session_daemon::send(backend_number Connection,
+                          const sessions::backend_request &Request) {
+  auto Entry = Backends.find(keyOf(Connection));
+  if (Entry == Backends.end())
+    return;
+  Protocol.encode(Request, Entry->second.Stream->output());
+  Entry->second.Awaited.push_back(Request.Verb);
+  DirtyBackends.push_back(Connection);
+}
+
+void session_daemon::close(backend_number Connection) {
+  auto Entry = Backends.extract(keyOf(Connection));
+  if (!Entry.empty())
+    Closing.push_back(std::move(Entry.mapped().Stream));
+}
+
+void session_daemon::backendLine(backend_number Connection,
+                                 std::string_view Line) {
+  auto Entry = Backends.find(keyOf(Connection));
+  if (Entry == Backends.end())
+    return;
+  backend &Backend = Entry->second;
+  base::time_point Now = base::monotonic_clock::now();
+  bool IsOpening = !Backend.IsOpen;
+  sessions::backend_verb Verb = Backend.Awaited.empty()
+                                    ? sessions::backend_verb::Begin
+                                    : Backend.Awaited.front();
+  bool IsWhole = Protocol.decodeBackendLine(Line, Verb, Backend.Reply);
+  if (IsOpening) {
+    // An opening is answered by one line.
+    Backend.IsOpen = true;
+    bool IsAccepted =
+        IsWhole && Backend.Reply.Rows.empty() &&
+        Backend.Reply.Error.value_or(refusal::Other) == refusal::Other;
+    std::optional<refusal> Reason = Backend.Reply.Error;
+    Backend.Reply = {};
+    if (IsAccepted)
+      Engine.backendOpened(Connection, Now);
+    else
+      Engine.backendLost(Connection, Reason, Now);
+    return;
+  }
+  if (!IsWhole)
+    return;
+  sessions::backend_reply Reply = std::exchange(Backend.Reply, {});
+  if (!Backend.Awaited.empty())
+    Backend.Awaited.pop_front();
+  Engine.backendReplied(Connection, Reply, Now);
+}
+
+void session_daemon::backendEnded(backend_number Connection) {
+  auto Entry = Backends.extract(keyOf(Connection));
+  if (Entry.empty())
+    return;
+  Closing.push_back(std::move(Entry.mapped().Stream));
+  Engine.backendLost(Connection, std::nullopt, base::monotonic_clock::now());
+}
+
+void session_daemon::execute(sessions::store_call_number Call,
+                             const base::store_request &Request) {
+  if (Services->execute(Call, Request))
+    return;
+  Loop.post([this, Call] {
+    base::store_answer Answer;
+    Answer.Outcome = base::store_outcome::NotDone;
+    Engine.storeAnswered(Call, Answer, base::monotonic_clock::now());
+  });
+}
+
+void session_daemon::promote(sessions::store_call_number Call,
+                             const base::group_id &Group,
+                             const base::instance_id &Instance,
+                             std::uint64_t Generation) {
+  Services->promote(Call, Group, Instance, base::host_id(Settings.HostId),
+                    Generation);
+}
+
+void session_daemon::sendDatagram(const std::string &Address,
+                                  const std::string &Bytes) {
+  Datagrams->send(Address, Bytes);
+}
+
+void session_daemon::updateGauges() {
+  const sessions::engine_counters &Counters = Engine.counters();
+  auto Set = [this](const char *Name, std::uint64_t Value) {
+    Metrics.setGauge({Name}, static_cast<double>(Value));
+  };
+  Set("radishrelay_sessions_started", Counters.SessionsStarted);
+  Set("radishrelay_sessions_rejected", Counters.SessionsRejected);
+  Set("radishrelay_statements_served", Counters.StatementsServed);
+  Set("radishrelay_statements_refused", Counters.StatementsRefused);
+  Set("radishrelay_reads_on_replicas", Counters.ReadsOnReplicas);
+  Set("radishrelay_reads_on_primaries", Counters.ReadsOnPrimaries);
+  Set("radishrelay_retried_elsewhere", Counters.RetriedElsewhere);
+  Set("radishrelay_rate_exceeded", Counters.RateExceeded);
+  Set("radishrelay_client_connections", Clients.size());
+  Set("radishrelay_backend_connections", Backends.size());
+}
+
+status_page session_daemon::statusPage(const std::string &Path) {
+  constexpr int Unavailable = 503;
+  constexpr int NotFound = 404;
+  if (Path == Settings.ReadinessPath)
+    return Engine.isReady() ? status_page{}
+                            : status_page{Unavailable, "text/plain", ""};
+  if (Path == "/metrics") {
+    updateGauges();
+    return {200, "text/plain; version=0.0.4", Metrics.prometheusText()};
+  }
+  if (Path == "/state")
+    return {200, "application/json", Engine.dump().dump()};
+  return {NotFound, "text/plain", "no such page\n"};
+}
+
+} // namespace radishrelay::daemon
--- /dev/null
+++ b/packages/daemon/src/session_settings.cpp
@@ -0,0 +1,56 @@
+#include "radishrelay/daemon/session_settings.h"
+
+#include "radishrelay/base/settings_table.h"
+
+namespace radishrelay::daemon {
+
+namespace {
+
+using options = session_settings;
+using base::addressSetting;
+using base::choiceSetting;
+using base::integerSetting;
+using base::presence;
+using base::textSetting;
+
+constexpr std::int64_t LongestMilliseconds = 600'000;
+
+const base::settings_table<options> &settingsTable() {
+  static const base::settings_table<options> Table({
+      textSetting("host", "id", &options::HostId, presence::Required),
+      textSetting("host", "failure_domain", &options::FailureDomain,
+                  presence::Required),
+      addressSetting("sessions", "address", &options::SessionsAddress,
+                     presence::Required),
+      addressSetting("readiness", "address", &options::ReadinessAddress,
+                     presence::Required),
+      textSetting("readiness", "path", &options::ReadinessPath),
+      addressSetting("metrics", "address", &options::MetricsAddress,
+                     presence::Required),
+      addressSetting("peers", "address", &options::PeersAddress,
+                     presence::Required),
+      addressSetting("store", "address", &options::StoreAddress,
+                     presence::Required),
+      addressSetting("promotions", "address", &options::PromotionsAddress,
+                     presence::Required),
+      integerSetting("drain", "leaving_ms", &options::LeavingMilliseconds,
+                     {0, LongestMilliseconds}),
+      integerSetting("drain", "grace_ms", &options::GraceMilliseconds,
+                     {0, LongestMilliseconds}),
+      choiceSetting("log", "level", &options::LogLevel,
+                    {"debug", "info", "warning", "error"}),
+  });
+  return Table;
+}
+
+} // namespace
+
+base::expected<session_settings>
+readSessionSettings(const std::string &FileName) {
+  base::expected<base::ini_document> Document = base::readIniFile(FileName);
+  if (!Document)
+    return Document.error();
+  return settingsTable().parse(*Document);
+}
+
+} // namespace radishrelay::daemon
--- /dev/null
+++ b/packages/daemon/src/status_listener.cpp
@@ -0,0 +1,68 @@
+#include "radishrelay/daemon/status_listener.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace radishrelay::daemon {
+
+namespace {
+
+/// Probes come from few places; more connections are not answered.
+constexpr std::size_t MaxRequests = 64;
+
+} // namespace
+
+status_listener::status_listener(event_loop &Loop, const std::string &Address,
+                                 page_maker MakePage)
+    : Loop(Loop), Descriptor(listenOn(Address)), MakePage(std::move(MakePage)) {
+  Loop.add(Descriptor, *this, false);
+}
+
+status_listener::~status_listener() {
+  Loop.remove(Descriptor);
+  close(Descriptor);
+}
+
+void status_listener::readable() {
+  std::erase_if(Requests, [](const request &Request) {
+    return Request.Stream->hasEnded();
+  });
+  for (int Accepted = acceptFrom(Descriptor); Accepted >= 0;
+       Accepted = acceptFrom(Descriptor)) {
+    if (Requests.size() >= MaxRequests) {
+      close(Accepted);
+      continue;
+    }
+    request &Request = Requests.emplace_back();
+    line_stream_events Events;
+    Events.Line = [this, &Request](std::string_view Line) {
+      takeLine(Request, Line);
+    };
+    Request.Stream =
+        std::make_unique<line_stream>(Loop, Accepted, std::move(Events));
+  }
+}
+
+void status_listener::takeLine(request &Request, std::string_view Line) {
+  if (!Line.empty()) {
+    bool IsRequestLine = Request.Path.empty();
+    if (!IsRequestLine)
+      return;
+    std::size_t Start = std::min(Line.find(' '), Line.size());
+    std::size_t End = std::min(Line.find(' ', Start + 1), Line.size());
+    Request.Path = Line.substr(std::min(Start + 1, Line.size()),
+                               End - std::min(Start + 1, End));
+    return;
+  }
+  status_page Page = MakePage(Request.Path);
+  std::string &Out = Request.Stream->output();
+  Out += "HTTP/1.1 " + std::to_string(Page.Status) +
+         (Page.Status == 200 ? " OK" : " Unavailable") +
+         "\r\nContent-Type: " + Page.ContentType +
+         "\r\nContent-Length: " + std::to_string(Page.Body.size()) +
+         "\r\nConnection: close\r\n\r\n" + Page.Body;
+  Request.Stream->closeAfterOutput();
+}
+
+} // namespace radishrelay::daemon
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/backend_reply.h
@@ -0,0 +1,34 @@
+#ifndef RADISHRELAY_SESSIONS_BACKEND_REPLY_H
+#define RADISHRELAY_SESSIONS_BACKEND_REPLY_H
+
+#include "radishrelay/groups/log_position.h"
+#include "radishrelay/sessions/instance_condition.h"
+#include "radishrelay/sessions/refusal.h"
+#include "radishrelay/sessions/session_phase.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace radishrelay::sessions {
+
+/// The whole answer of an instance to one request.
+struct backend_reply {
+  std::vector<std::string> Rows;
+  /// The instance's proof of the work; set unless Error is.
+  std::string Receipt;
+  std::optional<refusal> Error;
+  std::string ErrorText;
+  session_phase Phase = session_phase::Idle;
+  /// End of the instance's log.
+  std::optional<groups::log_position> Position;
+  /// Set in answers to Status, Fence, Demote and Unfence.
+  std::optional<instance_condition> Condition;
+
+  friend bool operator==(const backend_reply &,
+                         const backend_reply &) = default;
+};
+
+} // namespace radishrelay::sessions
+
+#endif
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -0,0 +1,122 @@
+#ifndef RADISHRELAY_SESSIONS_DETAIL_GROUP_SUPERVISOR_H
+#define RADISHRELAY_SESSIONS_DETAIL_GROUP_SUPERVISOR_H
+
+#include "radishrelay/sessions/catalog.h"
+#include "radishrelay/sessions/detail/backend_pool.h"
+#include "radishrelay/sessions/detail/promotion_votes.h"
+#include "radishrelay/sessions/detail/store_calls.h"
+#include "radishrelay/sessions/event_log.h"
+#include "radishrelay/sessions/group_leadership.h"
+#include "radishrelay/sessions/promotion.h"
+
+#include <optional>
+
+namespace radishrelay::sessions::detail {
+
+/// The hosts that may vote on a promotion.
+struct fleet_size {
+  std::size_t Hosts = 1;
+  std::size_t Domains = 1;
+  /// How long this host lets others go first.
+  base::duration PromotionDelay{};
+};
+
+/// One host's care for one database group: proves the primary when sessions
+/// need it, and has a lost or leaving primary replaced.
+class group_supervisor {
+public:
+  group_supervisor(base::group_id Group, const engine_options &Options,
+                   backend_pool &Pool, store_calls &Store, event_log &Log);
+
+  /// Takes the listed instances of the group.
+  void setListings(const std::map<base::instance_id, instance_listing> &List,
+                   base::time_point Now);
+  void setSettings(const group_settings &Settings);
+  void setFleet(const fleet_size &Size) { Fleet = Size; }
+  /// Account for connections that are opened for status calls.
+  void setCallAccount(const base::account_id &Account) {
+    CallAccount = Account;
+  }
+
+  [[nodiscard]] group_leadership &leadership() { return Leadership; }
+  [[nodiscard]] const group_leadership &leadership() const {
+    return Leadership;
+  }
+  /// The primary, if it may be used now.
+  [[nodiscard]] std::optional<base::instance_id>
+  usablePrimary(base::time_point Now) const;
+  /// Whether a new primary is expected within PromotionPatience.
+  [[nodiscard]] bool isPromotionOrdered() const;
+  /// The primary cannot be reached, as far as probes tell.
+  [[nodiscard]] bool isPrimaryLost() const { return FailedProbes >= 2; }
+
+  /// A session needs a proved primary.
+  void wantProof(base::time_point Now);
+  void noteFailure(const base::instance_id &Instance, base::time_point Now);
+  void noteWriteTimeout(const base::instance_id &Instance,
+                        base::time_point Now);
+  void noteCommit(const base::instance_id &Instance,
+                  groups::log_position Position, base::time_point SentAt);
+  /// A call of the proxy itself was answered; true if the primary is proved
+  /// since.
+  bool callAnswered(const base::instance_id &Instance,
+                    const instance_condition &Condition,
+                    base::time_point SentAt, base::time_point Now);
+  void advance(base::time_point Now);
+  [[nodiscard]] base::time_point nextWake(base::time_point Now) const;
+  [[nodiscard]] base::json dump() const;
+
+private:
+  struct member_state {
+    instance_listing Listing;
+    bool IsListed = true;
+    base::time_point UnlistedAt;
+  };
+
+  void startProbe(base::time_point Now);
+  void endProbe(base::time_point Now);
+  void noteProved(base::time_point Now);
+  [[nodiscard]] bool isProbeNeeded(base::time_point Now) const;
+  [[nodiscard]] bool isSuspected(base::time_point Now) const;
+  [[nodiscard]] bool isPrimaryLeaving() const;
+  void considerPromotion(base::time_point Now);
+  void castVote(base::time_point Now);
+  void withdrawVote();
+  void startPromotion(base::time_point Now, std::string_view Reason);
+  void perform(const promotion_actions &Actions, base::time_point Now);
+  void updateMembers();
+
+  base::group_id Group;
+  engine_options Options;
+  backend_pool &Pool;
+  store_calls &Store;
+  event_log &Log;
+  group_settings Settings;
+  fleet_size Fleet;
+  base::account_id CallAccount;
+
+  group_leadership Leadership;
+  promotion Promotion;
+  promotion_votes Votes;
+  std::map<base::instance_id, member_state> Members;
+
+  /// Last time at which a session needed a proof.
+  base::time_point WantedAt;
+  bool IsProbing = false;
+  base::time_point ProbeStartedAt;
+  base::time_point NextProbeAt;
+  std::uint32_t FailedProbes = 0;
+  base::time_point FirstFailureAt;
+  std::uint32_t WriteTimeouts = 0;
+  base::time_point FirstWriteTimeoutAt;
+  /// When the primary was first seen leaving, or votes agreed.
+  std::optional<base::time_point> ReplaceSince;
+  base::time_point NextVoteAt;
+  bool HasVoted = false;
+  std::optional<base::instance_id> LoggedPrimary;
+  groups::term_number LoggedTerm = 0;
+};
+
+} // namespace radishrelay::sessions::detail
+
+#endif
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/detail/store_calls.h
@@ -0,0 +1,38 @@
+#ifndef RADISHRELAY_SESSIONS_DETAIL_STORE_CALLS_H
+#define RADISHRELAY_SESSIONS_DETAIL_STORE_CALLS_H
+
+#include "radishrelay/base/store_answer.h"
+#include "radishrelay/sessions/coordination_port.h"
+
+#include <functional>
+#include <map>
+
+namespace radishrelay::sessions::detail {
+
+/// Open calls to the platform and who awaits their answers.
+class store_calls {
+public:
+  using answer_handler =
+      std::function<void(const base::store_answer &, base::time_point)>;
+  using order_handler = std::function<void(bool, base::time_point)>;
+
+  explicit store_calls(coordination_port &Port) : Port(Port) {}
+
+  void execute(const base::store_request &Request, answer_handler Handler);
+  void promote(const base::group_id &Group, const base::instance_id &Instance,
+               std::uint64_t Generation, order_handler Handler);
+  void answered(store_call_number Call, const base::store_answer &Answer,
+                base::time_point Now);
+  void orderAnswered(store_call_number Call, bool Accepted,
+                     base::time_point Now);
+
+private:
+  coordination_port &Port;
+  std::uint64_t LastCall = 0;
+  std::map<store_call_number, answer_handler> Handlers;
+  std::map<store_call_number, order_handler> OrderHandlers;
+};
+
+} // namespace radishrelay::sessions::detail
+
+#endif
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/engine_counters.h
@@ -0,0 +1,25 @@
+#ifndef RADISHRELAY_SESSIONS_ENGINE_COUNTERS_H
+#define RADISHRELAY_SESSIONS_ENGINE_COUNTERS_H
+
+#include <cstdint>
+
+namespace radishrelay::sessions {
+
+/// What an engine has done since its start.
+struct engine_counters {
+  std::uint64_t SessionsStarted = 0;
+  std::uint64_t SessionsRejected = 0;
+  std::uint64_t StatementsServed = 0;
+  std::uint64_t StatementsRefused = 0;
+  std::uint64_t ReadsOnReplicas = 0;
+  std::uint64_t ReadsOnPrimaries = 0;
+  std::uint64_t RetriedElsewhere = 0;
+  std::uint64_t RateExceeded = 0;
+
+  friend bool operator==(const engine_counters &,
+                         const engine_counters &) = default;
+};
+
+} // namespace radishrelay::sessions
+
+#endif
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/fleet_services.h
@@ -0,0 +1,63 @@
+#ifndef RADISHRELAY_SESSIONS_FLEET_SERVICES_H
+#define RADISHRELAY_SESSIONS_FLEET_SERVICES_H
+
+#include "radishrelay/base/expected.h"
+#include "radishrelay/base/store_answer.h"
+#include "radishrelay/sessions/catalog.h"
+#include "radishrelay/sessions/instance_listing.h"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace radishrelay::sessions {
+
+/// Delivers the operators' configuration. Blocking; used by one thread.
+class catalog_source {
+public:
+  virtual ~catalog_source() = default;
+  /// Waits for a configuration that was not delivered yet; null when none came
+  /// before \p Deadline.
+  virtual base::expected<catalog_ptr> next(base::time_point Deadline) = 0;
+};
+
+/// Lists the instances. Blocking; used by one thread.
+class instance_source {
+public:
+  virtual ~instance_source() = default;
+  virtual base::expected<std::vector<instance_listing>>
+  read(base::time_point Deadline) = 0;
+};
+
+/// The tables in which the fleet keeps what has to last. Blocking; used by one
+/// thread.
+class table_store {
+public:
+  virtual ~table_store() = default;
+  virtual base::store_answer execute(const base::store_request &Request,
+                                     base::time_point Deadline) = 0;
+};
+
+/// Takes orders to promote an instance. Blocking; used by one thread.
+class promotion_service {
+public:
+  virtual ~promotion_service() = default;
+  /// \p Generation grows with each change of the host that gives orders.
+  virtual base::failure promote(const base::group_id &Group,
+                                const base::instance_id &Instance,
+                                const base::host_id &Holder,
+                                std::uint64_t Generation,
+                                base::time_point Deadline) = 0;
+};
+
+/// What a fleet gets from the platform it runs on.
+struct fleet_services {
+  std::unique_ptr<catalog_source> Catalog;
+  std::unique_ptr<instance_source> Instances;
+  std::unique_ptr<table_store> Tables;
+  std::unique_ptr<promotion_service> Promotions;
+};
+
+} // namespace radishrelay::sessions
+
+#endif
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/instance_condition.h
@@ -0,0 +1,24 @@
+#ifndef RADISHRELAY_SESSIONS_INSTANCE_CONDITION_H
+#define RADISHRELAY_SESSIONS_INSTANCE_CONDITION_H
+
+#include "radishrelay/groups/instance_status.h"
+
+namespace radishrelay::sessions {
+
+/// What an instance says of itself when asked for its status.
+struct instance_condition {
+  groups::instance_role Role = groups::instance_role::Replica;
+  groups::term_number Term = 0;
+  /// Last log entry received.
+  groups::log_position Received;
+  /// Term for which the instance was fenced, 0 if it is not: it receives no
+  /// entry of a lower term.
+  groups::term_number FencedTerm = 0;
+
+  friend bool operator==(const instance_condition &,
+                         const instance_condition &) = default;
+};
+
+} // namespace radishrelay::sessions
+
+#endif
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/listing_memory.h
@@ -0,0 +1,33 @@
+#ifndef RADISHRELAY_SESSIONS_LISTING_MEMORY_H
+#define RADISHRELAY_SESSIONS_LISTING_MEMORY_H
+
+#include "radishrelay/base/monotonic_clock.h"
+#include "radishrelay/sessions/instance_listing.h"
+
+#include <map>
+#include <vector>
+
+namespace radishrelay::sessions {
+
+/// Keeps instances in use whose entries lapsed while the store was away.
+///
+/// Entries of living instances are back within about two seconds of the
+/// store's return; one that is missing later is gone.
+class listing_memory {
+public:
+  /// The list was read. Returns it with the entries that are still kept.
+  std::vector<instance_listing> merge(std::vector<instance_listing> List,
+                                      base::time_point Now);
+  /// The list could not be read.
+  void noteFailure(base::time_point Now);
+
+private:
+  std::map<base::instance_id, instance_listing> Known;
+  bool IsAway = false;
+  /// Until when missing entries are kept.
+  base::time_point KeepUntil;
+};
+
+} // namespace radishrelay::sessions
+
+#endif
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/session_phase.h
@@ -0,0 +1,16 @@
+#ifndef RADISHRELAY_SESSIONS_SESSION_PHASE_H
+#define RADISHRELAY_SESSIONS_SESSION_PHASE_H
+
+namespace radishrelay::sessions {
+
+/// State of a session between two statements.
+enum class session_phase {
+  Idle,
+  InTransaction,
+  /// A statement of the transaction failed; only its end is accepted.
+  FailedTransaction,
+};
+
+} // namespace radishrelay::sessions
+
+#endif
--- /dev/null
+++ b/packages/sessions/src/fleet_members.cpp
@@ -0,0 +1,234 @@
+#include "radishrelay/sessions/detail/fleet_members.h"
+
+#include "radishrelay/base/rendezvous.h"
+
+#include <algorithm>
+
+namespace radishrelay::sessions::detail {
+
+namespace {
+
+constexpr const char *MembersTable = "members";
+constexpr const char *AskKind = "ask";
+constexpr const char *GiftKind = "gift";
+/// A renewal that has no answer is asked for again.
+constexpr base::duration RenewalTimeout = std::chrono::seconds(2);
+/// After the first start the table is read again soon, since all hosts start
+/// together.
+constexpr base::duration EarlyInterval = std::chrono::milliseconds(1500);
+/// Hosts ask one lender after another; a promotion is left to the first hosts
+/// in the group's order.
+constexpr base::duration PromotionStagger = std::chrono::milliseconds(150);
+constexpr std::size_t LargestStagger = 6;
+
+} // namespace
+
+fleet_members::fleet_members(const engine_options &Options, store_calls &Store,
+                             coordination_port &Port, event_log &Log)
+    : Options(Options), Store(Store), Port(Port), Log(Log),
+      Random(Options.RandomSeed) {}
+
+void fleet_members::setCatalog(const catalog_ptr &Catalog,
+                               base::time_point Now) {
+  Limits = Catalog->Limits;
+  Limiter.configure(Limits, Part, Now);
+}
+
+std::size_t fleet_members::size() const {
+  bool HasSelf = Members.contains(Options.Host.str());
+  return Members.size() + (HasSelf ? 0 : 1);
+}
+
+fleet_size fleet_members::sizeFor(const base::group_id &Group) const {
+  std::set<std::string> Domains{Options.Domain.str()};
+  std::vector<std::string> Names{Options.Host.str()};
+  for (const auto &[Name, Member] : Members) {
+    Domains.insert(Member.Domain);
+    if (Name != Options.Host.str())
+      Names.push_back(Name);
+  }
+  std::vector<std::string> Order = base::rendezvousOrder(Group.str(), Names);
+  auto Position = std::ranges::find(Order, Options.Host.str());
+  auto Rank = std::min(static_cast<std::size_t>(Position - Order.begin()),
+                       LargestStagger);
+  return {size(), Domains.size(),
+          PromotionStagger * static_cast<std::int64_t>(Rank)};
+}
+
+void fleet_members::advance(base::time_point Now) {
+  if (IsRenewing && Now >= RenewalSentAt + RenewalTimeout)
+    IsRenewing = false;
+  if (!IsRenewing && Now >= NextRenewalAt)
+    renew(Now);
+  updateShare(Now);
+  askForTokens(Now);
+}
+
+void fleet_members::renew(base::time_point Now) {
+  IsRenewing = true;
+  RenewalSentAt = Now;
+  NextRenewalAt = Now + Options.MemberInterval;
+  base::json Value = base::json::object();
+  Value["domain"] = Options.Domain.str();
+  Value["address"] = Options.PeerAddress;
+  Value["incarnation"] = Options.Incarnation;
+  base::store_transaction Transaction;
+  Transaction.Writes.push_back(
+      {{MembersTable, Options.Host.str()}, std::move(Value)});
+  auto Renew = [this, Transaction, Now] {
+    Store.execute(Transaction, [this, Now](const auto &Answer, auto At) {
+      if (Answer.Outcome == base::store_outcome::Done)
+        RenewedAt = std::max(RenewedAt.value_or(Now), Now);
+      onRenewed(Answer, At);
+    });
+  };
+  if (HasRead) {
+    Renew();
+    return;
+  }
+  // The first read tells whether the fleet already counts this host.
+  Store.execute(base::read_table{MembersTable},
+                [this, Renew](const auto &Answer, auto At) {
+                  onRead(Answer, At);
+                  if (!HasRead)
+                    return;
+                  bool IsCounted = Members.contains(Options.Host.str());
+                  ShareFrom = IsCounted ? At : At + Options.NewMemberDelay;
+                  Renew();
+                });
+}
+
+void fleet_members::onRenewed(const base::store_answer &Answer,
+                              base::time_point Now) {
+  if (Answer.Outcome != base::store_outcome::Done) {
+    IsRenewing = false;
+    return;
+  }
+  if (Now < ShareFrom)
+    NextRenewalAt = std::min(NextRenewalAt, Now + EarlyInterval);
+  Store.execute(base::read_table{MembersTable},
+                [this](const auto &Read, auto At) {
+                  onRead(Read, At);
+                  removeLapsed(At);
+                });
+}
+
+void fleet_members::onRead(const base::store_answer &Answer,
+                           base::time_point Now) {
+  IsRenewing = false;
+  if (Answer.Outcome != base::store_outcome::Done)
+    return;
+  HasRead = true;
+  std::map<std::string, member> Current;
+  for (const base::table_row &Row : Answer.Rows) {
+    if (!Row.Value.is_object())
+      continue;
+    member Member{Row.Version, Now, Row.Value.value("domain", std::string()),
+                  Row.Value.value("address", std::string())};
+    auto Known = Members.find(Row.Key.Key);
+    if (Known != Members.end() && Known->second.Version == Row.Version)
+      Member.SeenAt = Known->second.SeenAt;
+    Current.emplace(Row.Key.Key, std::move(Member));
+  }
+  if (Current.size() != Members.size())
+    Log.belief("fleet size changed",
+               {{"hosts", Current.size()}, {"before", Members.size()}});
+  Members = std::move(Current);
+  updateShare(Now);
+}
+
+void fleet_members::removeLapsed(base::time_point Now) {
+  for (const auto &[Name, Member] : Members) {
+    if (Now < Member.SeenAt + Options.MemberLifetime)
+      continue;
+    base::store_transaction Transaction;
+    base::row_key Key{MembersTable, Name};
+    Transaction.Conditions.push_back({Key, Member.Version});
+    Transaction.Writes.push_back({Key, nullptr});
+    // Another host may have removed it; the next read tells.
+    Store.execute(Transaction, [](const auto &, auto) {});
+    return;
+  }
+}
+
+void fleet_members::updateShare(base::time_point Now) {
+  bool HoldsShare =
+      RenewedAt && Now < *RenewedAt + Options.ShareLifetime && Now >= ShareFrom;
+  accounts::millionths NewPart =
+      HoldsShare ? accounts::WholeInMillionths /
+                       static_cast<accounts::millionths>(size())
+                 : 0;
+  if (NewPart == Part)
+    return;
+  Part = NewPart;
+  Limiter.configure(Limits, Part, Now);
+  Log.belief("share of limits changed", {{"millionths", Part}});
+}
+
+bool fleet_members::admit(const base::account_id &Account,
+                          base::time_point Now) {
+  bool IsAdmitted = Limiter.take(Account, Now);
+  askForTokens(Now);
+  return IsAdmitted;
+}
+
+const std::string *fleet_members::nextLender() {
+  std::size_t Count = Members.size();
+  for (std::size_t Try = 0; Try < Count; ++Try) {
+    auto Member = std::next(Members.begin(),
+                            static_cast<std::ptrdiff_t>(++LenderIndex % Count));
+    if (Member->first != Options.Host.str() && !Member->second.Address.empty())
+      return &Member->second.Address;
+  }
+  return nullptr;
+}
+
+void fleet_members::askForTokens(base::time_point Now) {
+  for (const accounts::token_transfer &Wish : Limiter.wishes(Now))
+    if (const std::string *Lender = nextLender())
+      sendTransfer(AskKind, Wish, *Lender);
+}
+
+void fleet_members::sendTransfer(const char *Kind,
+                                 const accounts::token_transfer &Transfer,
+                                 const std::string &Address) {
+  base::json Message = base::json::array(
+      {Kind, Transfer.Account.str(), Transfer.Tokens, Options.PeerAddress});
+  std::vector<std::uint8_t> Packed = base::json::to_msgpack(Message);
+  Port.sendDatagram(Address, std::string(Packed.begin(), Packed.end()));
+}
+
+void fleet_members::receiveDatagram(const std::string &Bytes,
+                                    base::time_point Now) {
+  constexpr bool Strict = true;
+  constexpr bool ThrowErrors = false;
+  base::json Message = base::json::from_msgpack(Bytes, Strict, ThrowErrors);
+  bool IsReadable = Message.is_array() && Message.size() == 4 &&
+                    Message[0].is_string() && Message[1].is_string() &&
+                    Message[2].is_number_integer() && Message[3].is_string();
+  if (!IsReadable) {
+    Log.decision("datagram not readable", {{"bytes", Bytes.size()}});
+    return;
+  }
+  accounts::token_transfer Transfer{
+      base::account_id(Message[1].get<std::string>()),
+      Message[2].get<std::int64_t>()};
+  if (Message[0] == AskKind) {
+    if (auto Gift = Limiter.lend(Transfer, Now))
+      sendTransfer(GiftKind, *Gift, Message[3].get<std::string>());
+  } else {
+    Limiter.receive(Transfer, Now);
+    DidTokensArrive = true;
+  }
+}
+
+bool fleet_members::takeTokensArrived() {
+  return std::exchange(DidTokensArrive, false);
+}
+
+base::json fleet_members::dump() const {
+  return {
+      {"hosts", size()}, {"part_millionths", Part}, {"limits", Limiter.dump()}};
+}
+
+} // namespace radishrelay::sessions::detail
--- /dev/null
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -0,0 +1,335 @@
+#include "radishrelay/sessions/detail/group_supervisor.h"
+
+#include <algorithm>
+
+namespace radishrelay::sessions::detail {
+
+namespace {
+
+/// After a session's last need of a proof, probes go on for so long, so that a
+/// lost primary is replaced before the next session comes.
+constexpr base::duration DemandLifetime = std::chrono::seconds(3);
+/// A failed write may be a lost answer; two without a success between are not.
+constexpr std::uint32_t WriteTimeoutsToSuspect = 2;
+
+} // namespace
+
+group_supervisor::group_supervisor(base::group_id Group,
+                                   const engine_options &Options,
+                                   backend_pool &Pool, store_calls &Store,
+                                   event_log &Log)
+    : Group(std::move(Group)), Options(Options), Pool(Pool), Store(Store),
+      Log(Log), Leadership(Options.LeaseDuration),
+      Promotion(this->Group, Options), Votes(this->Group, Options) {}
+
+void group_supervisor::setListings(
+    const std::map<base::instance_id, instance_listing> &List,
+    base::time_point Now) {
+  for (auto &[Instance, Member] : Members) {
+    bool IsListed = List.contains(Instance);
+    if (Member.IsListed && !IsListed)
+      Member.UnlistedAt = Now;
+    Member.IsListed = IsListed;
+  }
+  for (const auto &[Instance, Listing] : List)
+    if (Listing.Group == Group) {
+      member_state &Member = Members[Instance];
+      Member.Listing = Listing;
+      Member.IsListed = true;
+    }
+  updateMembers();
+}
+
+void group_supervisor::updateMembers() {
+  std::set<base::instance_id> Names;
+  for (const auto &[Instance, Member] : Members)
+    Names.insert(Instance);
+  Leadership.setMembers(std::move(Names));
+}
+
+void group_supervisor::setSettings(const group_settings &NewSettings) {
+  Settings = NewSettings;
+  Leadership.setCommitsReplicated(Settings.SyncReplicas > 0);
+}
+
+std::optional<base::instance_id>
+group_supervisor::usablePrimary(base::time_point Now) const {
+  if (FailedProbes > 0 || !Leadership.isProved(Now))
+    return std::nullopt;
+  return Leadership.primary();
+}
+
+bool group_supervisor::isPromotionOrdered() const {
+  return Promotion.isOrdered();
+}
+
+void group_supervisor::wantProof(base::time_point Now) {
+  WantedAt = Now;
+  if (!IsProbing && Now >= NextProbeAt && isProbeNeeded(Now))
+    startProbe(Now);
+}
+
+bool group_supervisor::isProbeNeeded(base::time_point Now) const {
+  bool IsDoubted = FailedProbes > 0 || FirstFailureAt > Leadership.provedAt();
+  bool IsWanted = Now < WantedAt + DemandLifetime;
+  return IsWanted && (IsDoubted || !Leadership.isProved(Now));
+}
+
+void group_supervisor::startProbe(base::time_point Now) {
+  IsProbing = true;
+  ProbeStartedAt = Now;
+  NextProbeAt = Now + Options.ProbeInterval;
+  backend_request Status;
+  Status.Verb = backend_verb::Status;
+  for (const auto &[Instance, Member] : Members)
+    Pool.call(Instance, CallAccount, Status, Now);
+}
+
+void group_supervisor::endProbe(base::time_point Now) {
+  IsProbing = false;
+  if (FailedProbes++ == 0) {
+    FirstFailureAt = ProbeStartedAt;
+    base::json Fields = Leadership.dump();
+    Fields["group"] = Group.str();
+    Log.belief("primary not proved by a probe", Fields);
+  }
+  NextProbeAt = std::max(NextProbeAt, Now);
+}
+
+void group_supervisor::noteProved(base::time_point) {
+  IsProbing = false;
+  FailedProbes = 0;
+  FirstFailureAt = {};
+  if (LoggedPrimary == Leadership.primary() && LoggedTerm == Leadership.term())
+    return;
+  LoggedPrimary = Leadership.primary();
+  LoggedTerm = Leadership.term();
+  WriteTimeouts = 0;
+  ReplaceSince.reset();
+  base::json Fields = Leadership.dump();
+  Fields["group"] = Group.str();
+  Log.belief("primary proved", Fields);
+}
+
+void group_supervisor::noteFailure(const base::instance_id &Instance,
+                                   base::time_point Now) {
+  if (Leadership.primary() != Instance)
+    return;
+  if (FirstFailureAt <= Leadership.provedAt())
+    FirstFailureAt = Now;
+  wantProof(Now);
+}
+
+void group_supervisor::noteWriteTimeout(const base::instance_id &Instance,
+                                        base::time_point Now) {
+  if (Leadership.primary() != Instance)
+    return;
+  if (WriteTimeouts++ == 0)
+    FirstWriteTimeoutAt = Now;
+}
+
+void group_supervisor::noteCommit(const base::instance_id &Instance,
+                                  groups::log_position Position,
+                                  base::time_point SentAt) {
+  Leadership.noteCommit(Instance, Position, SentAt);
+  if (Leadership.primary() == Instance) {
+    WriteTimeouts = 0;
+    bool IsProvedSinceFailure = SentAt > FirstFailureAt;
+    if (IsProvedSinceFailure && Settings.SyncReplicas > 0)
+      noteProved(SentAt);
+  }
+}
+
+bool group_supervisor::callAnswered(const base::instance_id &Instance,
+                                    const instance_condition &Condition,
+                                    base::time_point SentAt,
+                                    base::time_point Now) {
+  Leadership.noteCondition(Instance, Condition, SentAt);
+  promotion_actions Actions;
+  Promotion.instanceAnswered(Instance, Condition, Now, Actions);
+  perform(Actions, Now);
+  bool IsProved = Leadership.isProved(Now) &&
+                  Leadership.provedAt() >= ProbeStartedAt &&
+                  Leadership.provedAt() >= FirstFailureAt;
+  if (IsProved &&
+      (IsProbing || FailedProbes > 0 || LoggedTerm != Leadership.term()))
+    noteProved(Now);
+  return IsProved;
+}
+
+bool group_supervisor::isSuspected(base::time_point Now) const {
+  bool IsLost =
+      FailedProbes >= 2 && Now >= FirstFailureAt + Options.SuspicionDelay;
+  bool AreWritesLost = WriteTimeouts >= WriteTimeoutsToSuspect;
+  return IsLost || AreWritesLost;
+}
+
+bool group_supervisor::isPrimaryLeaving() const {
+  if (!Leadership.primary())
+    return false;
+  auto Member = Members.find(*Leadership.primary());
+  return Member != Members.end() && Member->second.IsListed &&
+         Member->second.Listing.Draining;
+}
+
+void group_supervisor::considerPromotion(base::time_point Now) {
+  if (!Promotion.isIdle())
+    return;
+  if (isPrimaryLeaving()) {
+    if (!ReplaceSince)
+      ReplaceSince = Now;
+    if (Now >= *ReplaceSince + Fleet.PromotionDelay)
+      startPromotion(Now, "primary is leaving");
+    return;
+  }
+  if (!isSuspected(Now)) {
+    ReplaceSince.reset();
+    withdrawVote();
+    return;
+  }
+  if (Now >= NextVoteAt)
+    castVote(Now);
+  groups::term_number Term = Leadership.highestTerm();
+  if (!Votes.isAgreed(Term, Fleet.Hosts, Fleet.Domains, Now))
+    return;
+  if (!ReplaceSince)
+    ReplaceSince = Now;
+  if (Now >= *ReplaceSince + Fleet.PromotionDelay)
+    startPromotion(Now, "primary is lost");
+}
+
+void group_supervisor::castVote(base::time_point Now) {
+  NextVoteAt = Now + Options.VoteInterval;
+  if (!HasVoted) {
+    base::json Fields = Leadership.dump();
+    Fields["group"] = Group.str();
+    Fields["failed_probes"] = FailedProbes;
+    Fields["write_timeouts"] = WriteTimeouts;
+    Log.belief("vote for a promotion", Fields);
+  }
+  HasVoted = true;
+  base::store_transaction Transaction;
+  Transaction.Writes.push_back(
+      {Votes.ownKey(), Votes.ownVote(Leadership.highestTerm())});
+  Store.execute(Transaction, [this](const base::store_answer &, auto) {
+    Store.execute(base::read_table{Votes.ownKey().Table},
+                  [this](const base::store_answer &Answer, auto At) {
+                    if (Answer.Outcome == base::store_outcome::Done)
+                      Votes.read(Answer.Rows, At);
+                  });
+  });
+}
+
+void group_supervisor::withdrawVote() {
+  if (!HasVoted)
+    return;
+  HasVoted = false;
+  base::store_transaction Transaction;
+  Transaction.Writes.push_back({Votes.ownKey(), nullptr});
+  // A vote that stays lapses by itself.
+  Store.execute(Transaction, [](const base::store_answer &, auto) {});
+}
+
+void group_supervisor::startPromotion(base::time_point Now,
+                                      std::string_view Reason) {
+  promotion_request Request;
+  if (Leadership.primary())
+    Request.OldPrimary = *Leadership.primary();
+  Request.Term = Leadership.highestTerm();
+  for (const auto &[Instance, Member] : Members)
+    Request.Members.push_back({Instance, Member.Listing.Draining});
+  promotion_actions Actions;
+  Promotion.start(Request, Now, Actions);
+  if (!Actions.empty()) {
+    base::json Fields = Leadership.dump();
+    Fields["group"] = Group.str();
+    Fields["reason"] = Reason;
+    Log.belief("promotion started", Fields);
+  }
+  perform(Actions, Now);
+}
+
+void group_supervisor::perform(const promotion_actions &Actions,
+                               base::time_point Now) {
+  for (const promotion_action &Action : Actions) {
+    backend_request Call;
+    base::instance_id Instance;
+    if (const auto *StoreCall = std::get_if<promotion_store_call>(&Action)) {
+      Store.execute(StoreCall->Request,
+                    [this](const base::store_answer &Answer, auto At) {
+                      promotion_actions Next;
+                      Promotion.storeAnswered(Answer, At, Next);
+                      perform(Next, At);
+                    });
+      continue;
+    }
+    if (const auto *Order = std::get_if<promotion_order>(&Action)) {
+      base::json Fields = Promotion.dump();
+      Fields["group"] = Group.str();
+      Log.belief("promotion ordered", Fields);
+      Store.promote(Group, Order->Instance, Order->Generation,
+                    [this](bool Accepted, auto At) {
+                      promotion_actions Next;
+                      Promotion.orderAnswered(Accepted, At, Next);
+                      perform(Next, At);
+                    });
+      continue;
+    }
+    if (const auto *Fence = std::get_if<promotion_fence>(&Action)) {
+      Call.Verb = Fence->IsPrimary ? backend_verb::Demote : backend_verb::Fence;
+      Call.Term = Fence->Term;
+      Instance = Fence->Instance;
+    } else if (const auto *Unfence = std::get_if<promotion_unfence>(&Action)) {
+      Call.Verb = backend_verb::Unfence;
+      Instance = Unfence->Instance;
+    } else {
+      Call.Verb = backend_verb::Status;
+      Instance = std::get<promotion_status>(Action).Instance;
+    }
+    Pool.call(Instance, CallAccount, Call, Now);
+  }
+}
+
+void group_supervisor::advance(base::time_point Now) {
+  bool IsForgotten = false;
+  std::erase_if(Members, [&](const auto &Entry) {
+    const member_state &Member = Entry.second;
+    bool IsOld =
+        !Member.IsListed && Now >= Member.UnlistedAt + Options.UnlistedLifetime;
+    IsForgotten = IsForgotten || IsOld;
+    return IsOld;
+  });
+  if (IsForgotten)
+    updateMembers();
+  if (IsProbing && Now >= ProbeStartedAt + Options.StatusTimeout)
+    endProbe(Now);
+  if (!IsProbing && Now >= NextProbeAt && isProbeNeeded(Now))
+    startProbe(Now);
+  considerPromotion(Now);
+  promotion_actions Actions;
+  Promotion.advance(Now, Actions);
+  perform(Actions, Now);
+}
+
+base::time_point group_supervisor::nextWake(base::time_point Now) const {
+  base::time_point Wake = Promotion.nextWake();
+  if (IsProbing)
+    Wake = std::min(Wake, ProbeStartedAt + Options.StatusTimeout);
+  else if (isProbeNeeded(Now))
+    Wake = std::min(Wake, NextProbeAt);
+  if (ReplaceSince)
+    Wake = std::min(Wake, *ReplaceSince + Fleet.PromotionDelay);
+  if (isSuspected(Now))
+    Wake = std::min(Wake, NextVoteAt);
+  return Wake;
+}
+
+base::json group_supervisor::dump() const {
+  base::json Result = Leadership.dump();
+  Result["failed_probes"] = FailedProbes;
+  Result["write_timeouts"] = WriteTimeouts;
+  Result["promotion"] = Promotion.dump();
+  return Result;
+}
+
+} // namespace radishrelay::sessions::detail
--- /dev/null
+++ b/packages/sessions/src/promotion.cpp
@@ -0,0 +1,357 @@
+#include "radishrelay/sessions/promotion.h"
+
+#include <algorithm>
+
+namespace radishrelay::sessions {
+
+namespace {
+
+/// A claim counts for so long after it was first seen; the owner orders
+/// nothing after OrderPeriod.
+constexpr base::duration ClaimPeriod = std::chrono::milliseconds(4500);
+/// Leaves room for a call to the platform in flight.
+constexpr base::duration OrderPeriod = std::chrono::milliseconds(3500);
+/// Answer time of the store that is waited for.
+constexpr base::duration StoreTimeout = std::chrono::milliseconds(1000);
+/// Time between repeated fences and status calls; some round trips.
+constexpr base::duration CallInterval = std::chrono::milliseconds(80);
+/// Time after which the best instance is no longer waited for once enough are
+/// fenced.
+constexpr base::duration FencePatience = std::chrono::milliseconds(120);
+constexpr base::duration OrderTimeout = std::chrono::milliseconds(600);
+/// Time in which a promoted instance leads; it needs some 100 ms.
+constexpr base::duration ConfirmPeriod = std::chrono::milliseconds(2000);
+/// Pause after an attempt that failed.
+constexpr base::duration RetryPause = std::chrono::milliseconds(300);
+
+} // namespace
+
+promotion::promotion(base::group_id Group, const engine_options &Options)
+    : Group(std::move(Group)), Options(Options), Random(Options.RandomSeed) {}
+
+std::string promotion::self() const {
+  return Options.Host.str() + "/" + Options.Incarnation;
+}
+
+base::row_key promotion::claimKey() const {
+  return {"promotions", Group.str()};
+}
+
+void promotion::enter(promotion_stage Next, base::time_point Due) {
+  Stage = Next;
+  DueAt = Due;
+  IsCallOpen = false;
+}
+
+base::time_point promotion::nextWake() const {
+  return isIdle() ? base::time_point::max() : DueAt;
+}
+
+void promotion::start(promotion_request NewRequest, base::time_point Now,
+                      promotion_actions &Actions) {
+  if (!isIdle() || Now < NotBefore)
+    return;
+  Request = std::move(NewRequest);
+  Fenced.clear();
+  Candidate = {};
+  readClaim(Now, Actions);
+}
+
+void promotion::giveUp(base::time_point Now, promotion_actions &Actions) {
+  for (const auto &[Instance, Condition] : Fenced)
+    if (Condition.Role == groups::instance_role::Replica &&
+        Stage < promotion_stage::Ordering)
+      Actions.push_back(promotion_unfence{Instance});
+  NotBefore = Now + RetryPause +
+              base::duration(static_cast<std::int64_t>(Random.below(
+                  static_cast<std::uint64_t>(RetryPause.count()))));
+  enter(promotion_stage::Idle, NotBefore);
+}
+
+void promotion::readClaim(base::time_point Now, promotion_actions &Actions) {
+  enter(promotion_stage::Reading, Now + StoreTimeout);
+  IsCallOpen = true;
+  Actions.push_back(promotion_store_call{base::read_row{claimKey()}});
+}
+
+void promotion::storeAnswered(const base::store_answer &Answer,
+                              base::time_point Now,
+                              promotion_actions &Actions) {
+  if (!IsCallOpen)
+    return;
+  IsCallOpen = false;
+  if (Stage == promotion_stage::Reading)
+    onRead(Answer, Now, Actions);
+  else if (Stage == promotion_stage::Claiming)
+    onClaimed(Answer, Now, Actions);
+}
+
+void promotion::onRead(const base::store_answer &Answer, base::time_point Now,
+                       promotion_actions &Actions) {
+  if (Answer.Outcome != base::store_outcome::Done) {
+    giveUp(Now, Actions);
+    return;
+  }
+  const base::table_row *Row =
+      Answer.Rows.empty() ? nullptr : &Answer.Rows.front();
+  base::row_version Version = Row ? Row->Version : 0;
+  bool IsOwnRepeat = Row && !Operation.empty() &&
+                     Row->Value.value("operation", "") == Operation;
+  if (IsOwnRepeat) {
+    Generation = Version;
+    beginFencing(Now, Actions);
+    return;
+  }
+  if (Version != SeenVersion) {
+    SeenVersion = Version;
+    SeenAt = Now;
+  }
+  bool IsOthersActive =
+      Row && Row->Value.value("holder", "") != self() &&
+      Now < SeenAt + ClaimPeriod &&
+      Row->Value.value("term", groups::term_number{0}) >= Request.Term;
+  if (IsOthersActive) {
+    giveUp(Now, Actions);
+    return;
+  }
+  Operation = std::to_string(Random());
+  base::json Value = base::json::object();
+  Value["holder"] = self();
+  Value["operation"] = Operation;
+  Value["term"] = Request.Term;
+  base::store_transaction Transaction;
+  Transaction.Conditions.push_back({claimKey(), Version});
+  Transaction.Writes.push_back({claimKey(), std::move(Value)});
+  enter(promotion_stage::Claiming, Now + StoreTimeout);
+  IsCallOpen = true;
+  AttemptDeadline = Now + OrderPeriod;
+  Actions.push_back(promotion_store_call{std::move(Transaction)});
+}
+
+void promotion::onClaimed(const base::store_answer &Answer,
+                          base::time_point Now, promotion_actions &Actions) {
+  if (Answer.Outcome == base::store_outcome::Done) {
+    Generation = Answer.Version;
+    beginFencing(Now, Actions);
+  } else if (Answer.Outcome == base::store_outcome::NotDone) {
+    giveUp(Now, Actions);
+  } else {
+    // After a lost answer or a conflict the row tells whose claim it is.
+    readClaim(Now, Actions);
+  }
+}
+
+void promotion::beginFencing(base::time_point Now, promotion_actions &Actions) {
+  NewTerm = Request.Term + 1;
+  enter(promotion_stage::Fencing, Now + CallInterval);
+  FencedAt.reset();
+  sendFences(Actions);
+}
+
+void promotion::sendFences(promotion_actions &Actions) const {
+  for (const promotion_member &Member : Request.Members)
+    if (!Fenced.contains(Member.Instance))
+      Actions.push_back(promotion_fence{
+          Member.Instance, Member.Instance == Request.OldPrimary, NewTerm});
+}
+
+std::size_t promotion::neededFences() const {
+  std::size_t Count = Request.Members.size();
+  return Count > 1 ? Count - 1 : Count;
+}
+
+bool promotion::isFenced(const base::instance_id &Instance,
+                         const instance_condition &Condition) const {
+  // A replica that was not fenced can still acknowledge commits; a demoted
+  // primary cannot.
+  bool IsDemoted = Instance == Request.OldPrimary &&
+                   Condition.Role == groups::instance_role::Replica;
+  return Condition.Role == groups::instance_role::Replica &&
+         (IsDemoted || Condition.FencedTerm >= NewTerm);
+}
+
+void promotion::instanceAnswered(const base::instance_id &Instance,
+                                 const instance_condition &Condition,
+                                 base::time_point Now,
+                                 promotion_actions &Actions) {
+  if (Stage == promotion_stage::Confirming) {
+    if (Instance == Candidate)
+      onCandidateAnswer(Condition, Now, Actions);
+    return;
+  }
+  if (Stage < promotion_stage::Fencing || Stage > promotion_stage::Verifying)
+    return;
+  if (Condition.Term > Request.Term)
+    giveUp(Now, Actions); // another promotion took effect
+  else if (Stage == promotion_stage::Verifying)
+    onVerified(Instance, Condition, Now, Actions);
+  else
+    onFenceAnswer(Instance, Condition, Now, Actions);
+}
+
+void promotion::onFenceAnswer(const base::instance_id &Instance,
+                              const instance_condition &Condition,
+                              base::time_point Now,
+                              promotion_actions &Actions) {
+  if (!isFenced(Instance, Condition)) {
+    bool IsUnknownPrimary = Condition.Role == groups::instance_role::Primary &&
+                            Instance != Request.OldPrimary;
+    if (IsUnknownPrimary)
+      Actions.push_back(promotion_fence{Instance, true, NewTerm});
+    return;
+  }
+  Fenced[Instance] = Condition;
+  if (Fenced.size() < neededFences())
+    return;
+  if (!FencedAt)
+    FencedAt = Now;
+  if (Stage == promotion_stage::Fencing)
+    enter(promotion_stage::AwaitingLeases, Now + FencePatience);
+}
+
+void promotion::beginVerifying(base::time_point Now,
+                               promotion_actions &Actions) {
+  Verified.clear();
+  enter(promotion_stage::Verifying, Now + CallInterval);
+  for (const auto &[Instance, Condition] : Fenced)
+    Actions.push_back(promotion_status{Instance});
+}
+
+void promotion::onVerified(const base::instance_id &Instance,
+                           const instance_condition &Condition,
+                           base::time_point Now, promotion_actions &Actions) {
+  if (!Fenced.contains(Instance))
+    return;
+  if (!isFenced(Instance, Condition)) {
+    // The instance restarted, so leases may have been proved by it since.
+    Fenced.erase(Instance);
+    beginFencing(Now, Actions);
+    return;
+  }
+  Fenced[Instance] = Condition;
+  Verified.insert(Instance);
+  if (Verified.size() < neededFences())
+    return;
+  chooseCandidate();
+  order(Now, Actions);
+}
+
+void promotion::onCandidateAnswer(const instance_condition &Condition,
+                                  base::time_point Now,
+                                  promotion_actions &Actions) {
+  bool Leads = Condition.Role == groups::instance_role::Primary &&
+               Condition.Term >= NewTerm;
+  if (!Leads)
+    return;
+  for (const promotion_member &Member : Request.Members)
+    if (Member.Instance != Candidate)
+      Actions.push_back(promotion_unfence{Member.Instance});
+  NotBefore = Now + RetryPause;
+  enter(promotion_stage::Idle, NotBefore);
+}
+
+void promotion::chooseCandidate() {
+  auto IsDraining = [this](const base::instance_id &Instance) {
+    auto Member = std::ranges::find(Request.Members, Instance,
+                                    &promotion_member::Instance);
+    return Member != Request.Members.end() && Member->Draining;
+  };
+  std::size_t FencedReplicas =
+      Verified.size() - Verified.count(Request.OldPrimary);
+  // With every replica fenced, all that was acknowledged is on one of them,
+  // and the old primary need not lead again.
+  bool AreReplicasComplete =
+      FencedReplicas > 0 && FencedReplicas + 1 >= Request.Members.size();
+  auto Rank = [&](const base::instance_id &Instance) {
+    return std::tuple(Fenced.at(Instance).Received, !IsDraining(Instance),
+                      Instance != Request.OldPrimary);
+  };
+  Candidate = {};
+  for (const base::instance_id &Instance : Verified) {
+    if (AreReplicasComplete && Instance == Request.OldPrimary)
+      continue;
+    if (Candidate.empty() || Rank(Candidate) < Rank(Instance))
+      Candidate = Instance;
+  }
+}
+
+void promotion::order(base::time_point Now, promotion_actions &Actions) {
+  enter(promotion_stage::Ordering, Now + OrderTimeout);
+  Actions.push_back(promotion_order{Candidate, Generation});
+}
+
+void promotion::orderAnswered(bool Accepted, base::time_point Now,
+                              promotion_actions &) {
+  if (Stage != promotion_stage::Ordering)
+    return;
+  if (Accepted) {
+    AttemptDeadline = Now + ConfirmPeriod;
+    enter(promotion_stage::Confirming, Now);
+  } else
+    DueAt = Now + CallInterval;
+}
+
+void promotion::advance(base::time_point Now, promotion_actions &Actions) {
+  if (isIdle() || Now < DueAt)
+    return;
+  if (Now >= AttemptDeadline && Stage > promotion_stage::Claiming &&
+      Stage < promotion_stage::Confirming) {
+    giveUp(Now, Actions);
+    return;
+  }
+  switch (Stage) {
+  case promotion_stage::Idle:
+    return;
+  case promotion_stage::Reading:
+    giveUp(Now, Actions);
+    return;
+  case promotion_stage::Claiming:
+    readClaim(Now, Actions);
+    return;
+  case promotion_stage::Fencing:
+    DueAt = Now + CallInterval;
+    sendFences(Actions);
+    return;
+  case promotion_stage::AwaitingLeases: {
+    base::time_point SafeAt =
+        *FencedAt + Options.LeaseDuration + Options.LeaseMargin;
+    if (Now < SafeAt) {
+      sendFences(Actions);
+      DueAt = std::min(SafeAt, Now + std::max(CallInterval, FencePatience));
+      return;
+    }
+    beginVerifying(Now, Actions);
+    return;
+  }
+  case promotion_stage::Verifying:
+    beginVerifying(Now, Actions);
+    return;
+  case promotion_stage::Ordering:
+    order(Now, Actions);
+    return;
+  case promotion_stage::Confirming:
+    if (Now >= AttemptDeadline) {
+      giveUp(Now, Actions);
+      return;
+    }
+    DueAt = Now + CallInterval;
+    Actions.push_back(promotion_status{Candidate});
+    return;
+  }
+}
+
+base::json promotion::dump() const {
+  static constexpr const char *Names[] = {
+      "idle",      "reading",  "claiming",  "fencing", "awaiting_leases",
+      "verifying", "ordering", "confirming"};
+  base::json Result = base::json::object();
+  Result["stage"] = Names[static_cast<std::size_t>(Stage)];
+  Result["generation"] = Generation;
+  Result["old_primary"] = Request.OldPrimary.str();
+  Result["term"] = Request.Term;
+  Result["candidate"] = Candidate.str();
+  Result["fenced"] = Fenced.size();
+  return Result;
+}
+
+} // namespace radishrelay::sessions
--- /dev/null
+++ b/packages/sessions/src/session_engine.cpp
@@ -0,0 +1,315 @@
+#include "radishrelay/sessions/session_engine.h"
+
+#include <algorithm>
+
+namespace radishrelay::sessions {
+
+namespace {
+
+/// Period of the work that needs no exact time: idle transactions and
+/// connections.
+constexpr base::duration TrimInterval = std::chrono::milliseconds(250);
+
+} // namespace
+
+session_engine::session_engine(const engine_options &Options,
+                               client_port &Clients, backend_port &Backends,
+                               coordination_port &Coordination, event_log &Log)
+    : Options(Options), Clients(Clients), Log(Log), Store(Coordination),
+      Pool(Options, Backends), Members(Options, Store, Coordination, Log) {}
+
+bool session_engine::isReady() const {
+  return Catalog && !Instances.empty() && !IsDraining;
+}
+
+void session_engine::setCatalog(catalog_ptr NewCatalog, base::time_point Now) {
+  bool IsNewer = !Catalog || NewCatalog->Version > Catalog->Version;
+  if (!IsNewer)
+    return;
+  Log.belief("configuration adopted",
+             {{"version", NewCatalog->Version},
+              {"before", Catalog ? Catalog->Version : 0},
+              {"routes", NewCatalog->Routes.size()}});
+  Catalog = std::move(NewCatalog);
+  Members.setCatalog(Catalog, Now);
+  updateGroups(Now);
+}
+
+void session_engine::setInstances(const std::vector<instance_listing> &List,
+                                  base::time_point Now) {
+  std::map<base::instance_id, instance_listing> ById;
+  for (const instance_listing &Listing : List)
+    ById.emplace(Listing.Instance, Listing);
+  for (const auto &[Instance, Listing] : ById) {
+    instance_view &View = Instances[Instance];
+    bool IsRestarted = View.Listing.StartedAt != Listing.StartedAt;
+    if (Listing.Draining && !View.Listing.Draining)
+      View.DrainingSince = Now;
+    if (IsRestarted)
+      View.Seen = {};
+    if (!(View.Listing == Listing)) {
+      View.Listing = Listing;
+      Log.belief("instance listed",
+                 {{"instance", Instance.str()},
+                  {"group", Listing.Group.str()},
+                  {"draining", Listing.Draining},
+                  {"primary", Listing.Role == groups::instance_role::Primary}});
+    }
+  }
+  std::erase_if(Instances, [&](const auto &Entry) {
+    bool IsGone = !ById.contains(Entry.first);
+    if (IsGone)
+      Log.belief("instance no longer listed",
+                 {{"instance", Entry.first.str()}});
+    return IsGone;
+  });
+  Pool.setInstances(ById, Now);
+  for (auto &[Id, Group] : Groups)
+    Group->setListings(ById, Now);
+  updateGroups(Now);
+  ShouldServeWaiting = true;
+}
+
+void session_engine::updateGroups(base::time_point Now) {
+  if (!Catalog)
+    return;
+  std::map<base::instance_id, instance_listing> List;
+  for (const auto &[Instance, View] : Instances)
+    List.emplace(Instance, View.Listing);
+  for (const auto &[Id, Settings] : Catalog->Groups) {
+    auto [Entry, IsNew] = Groups.try_emplace(Id);
+    if (IsNew) {
+      Entry->second =
+          std::make_unique<supervisor>(Id, Options, Pool, Store, Log);
+      Entry->second->setListings(List, Now);
+    }
+    Entry->second->setSettings(Settings);
+    if (!Catalog->Limits.empty())
+      Entry->second->setCallAccount(Catalog->Limits.begin()->first);
+    Entry->second->setFleet(Members.sizeFor(Id));
+    Pool.setLimit(Id, Settings.ConnectionLimit, Members.size());
+  }
+}
+
+session_engine::supervisor *
+session_engine::groupOf(const base::group_id &Group) {
+  auto Entry = Groups.find(Group);
+  return Entry == Groups.end() ? nullptr : Entry->second.get();
+}
+
+session_engine::connection *
+session_engine::connectionOf(const session &Session) {
+  if (Session.Transaction.Connection)
+    return Pool.find(*Session.Transaction.Connection);
+  auto Entry = Attached.find(Session.Number);
+  return Entry == Attached.end() ? nullptr : Pool.find(Entry->second);
+}
+
+void session_engine::clientMessage(session_number Number,
+                                   const client_message &Message,
+                                   base::time_point Now) {
+  session &Session = Sessions[Number];
+  Session.Number = Number;
+  if (const auto *Start = std::get_if<start_session>(&Message)) {
+    start(Session, *Start);
+  } else if (const auto *Run = std::get_if<run_statement>(&Message)) {
+    run(Session, *Run, Now);
+  } else {
+    Clients.close(Number);
+    remove(Number, Now);
+  }
+}
+
+void session_engine::clientGone(session_number Number, base::time_point Now) {
+  remove(Number, Now);
+}
+
+void session_engine::remove(session_number Number, base::time_point Now) {
+  auto Entry = Sessions.find(Number);
+  if (Entry == Sessions.end())
+    return;
+  session &Session = Entry->second;
+  if (connection *Connection = connectionOf(Session)) {
+    if (Connection->Use == detail::connection_use::Opening)
+      Connection->Session.reset();
+    else if (!Connection->Outstanding.empty() || Session.Transaction.HasBegun)
+      Pool.clean(*Connection, Now);
+    else
+      Pool.release(*Connection, Now);
+    ShouldServeWaiting = true;
+  }
+  detach(Session);
+  Sessions.erase(Entry);
+}
+
+void session_engine::detach(session &Session) {
+  Attached.erase(Session.Number);
+  if (!Session.Current)
+    return;
+  Wakes.erase({Session.Current->WakeAt, Session.Number});
+  Session.Current->WakeAt = base::time_point::max();
+  Waiting.erase(
+      {Session.Route.Priority, Session.Current->ReceivedAt, Session.Number});
+}
+
+void session_engine::storeAnswered(store_call_number Call,
+                                   const base::store_answer &Answer,
+                                   base::time_point Now) {
+  std::size_t HostsBefore = Members.size();
+  Store.answered(Call, Answer, Now);
+  if (Members.size() != HostsBefore)
+    updateGroups(Now);
+}
+
+void session_engine::promotionAnswered(store_call_number Call, bool Accepted,
+                                       base::time_point Now) {
+  Store.orderAnswered(Call, Accepted, Now);
+}
+
+void session_engine::datagramReceived(const std::string &Bytes,
+                                      base::time_point Now) {
+  Members.receiveDatagram(Bytes, Now);
+}
+
+void session_engine::setWake(session &Session, base::time_point At) {
+  operation &Operation = *Session.Current;
+  Wakes.erase({Operation.WakeAt, Session.Number});
+  Operation.WakeAt = At;
+  if (At != base::time_point::max())
+    Wakes.emplace(At, Session.Number);
+}
+
+void session_engine::advance(base::time_point Now) {
+  runFollowing(Now);
+  while (!Wakes.empty() && Wakes.begin()->first <= Now) {
+    session_number Number = Wakes.begin()->second;
+    Wakes.erase(Wakes.begin());
+    auto Entry = Sessions.find(Number);
+    if (Entry == Sessions.end() || !Entry->second.Current)
+      continue;
+    Entry->second.Current->WakeAt = base::time_point::max();
+    operationDue(Entry->second, Now);
+  }
+  finishOverdue(Now);
+  for (auto &[Id, Group] : Groups)
+    Group->advance(Now);
+  Members.advance(Now);
+  if (Members.takeTokensArrived())
+    for (auto &[Number, Session] : Sessions)
+      if (Session.Current && Session.Current->Stage == stage::AwaitingToken)
+        advanceOperation(Session, Now);
+  if (Now >= NextTrimAt) {
+    NextTrimAt = Now + TrimInterval;
+    Pool.trim(Now);
+    endIdleTransactions(Now);
+    ShouldServeWaiting = true;
+  }
+  if (IsDraining)
+    drainSessions(Now);
+  if (ShouldServeWaiting)
+    serveWaiting(Now);
+  runFollowing(Now);
+}
+
+void session_engine::runFollowing(base::time_point Now) {
+  while (!Answered.empty()) {
+    std::vector<session_number> Numbers = std::exchange(Answered, {});
+    for (session_number Number : Numbers) {
+      auto Entry = Sessions.find(Number);
+      if (Entry == Sessions.end() || Entry->second.Current ||
+          Entry->second.Following.empty())
+        continue;
+      run_statement Next = std::move(Entry->second.Following.front());
+      Entry->second.Following.pop_front();
+      run(Entry->second, Next, Now);
+    }
+  }
+}
+
+base::time_point session_engine::nextWake(base::time_point Now) const {
+  base::time_point Wake = std::min(NextTrimAt, Members.nextWake());
+  if (!Wakes.empty())
+    Wake = std::min(Wake, Wakes.begin()->first);
+  Wake = std::min(Wake, Pool.nextDeadline());
+  // Repeated calls of a group need no finer time than this.
+  constexpr base::duration GroupResolution = std::chrono::milliseconds(5);
+  for (const auto &[Id, Group] : Groups)
+    Wake =
+        std::min(Wake, std::max(Group->nextWake(Now), Now + GroupResolution));
+  return Wake;
+}
+
+void session_engine::finishOverdue(base::time_point Now) {
+  for (backend_number Number : Pool.overdue(Now)) {
+    connection *Connection = Pool.find(Number);
+    if (!Connection)
+      continue;
+    base::instance_id Instance = Connection->Instance;
+    base::group_id Group = Connection->Group;
+    std::optional<session_number> Owner = Connection->Session;
+    Pool.discard(Number);
+    if (supervisor *Supervisor = groupOf(Group))
+      Supervisor->noteFailure(Instance, Now);
+    auto Entry = Owner ? Sessions.find(*Owner) : Sessions.end();
+    if (Entry != Sessions.end())
+      connectionLost(Entry->second, Instance, std::nullopt, Now);
+  }
+}
+
+void session_engine::endIdleTransactions(base::time_point Now) {
+  if (!Catalog || Catalog->TransactionIdle <= base::duration::zero())
+    return;
+  for (auto &[Number, Session] : Sessions) {
+    detail::transaction_state &Transaction = Session.Transaction;
+    bool IsIdle = Session.Phase == session_phase::InTransaction &&
+                  !Session.Current && Transaction.Connection &&
+                  Now >= Transaction.LastUsedAt + Catalog->TransactionIdle;
+    if (!IsIdle)
+      continue;
+    if (connection *Connection = Pool.find(*Transaction.Connection))
+      Pool.clean(*Connection, Now);
+    Transaction.Connection.reset();
+    Transaction.EndedBecause = "the transaction was idle for too long";
+  }
+}
+
+void session_engine::drain(base::time_point Now) {
+  if (IsDraining)
+    return;
+  IsDraining = true;
+  DrainingSince = Now;
+  Log.belief("drain started", {{"sessions", Sessions.size()}});
+}
+
+void session_engine::drainSessions(base::time_point Now) {
+  bool AreIdleClosed = Now >= DrainingSince + Options.BalancerDelay;
+  bool AreTransactionsOver = Now >= DrainingSince + Options.DrainTransactions;
+  bool AreStatementsOver = Now >= DrainingSince + Options.DrainStatements;
+  std::vector<session_number> Ended;
+  for (const auto &[Number, Session] : Sessions) {
+    bool IsRunning = Session.Current.has_value();
+    bool IsIdle = Session.Phase == session_phase::Idle;
+    if (AreStatementsOver || (AreTransactionsOver && !IsRunning) ||
+        (AreIdleClosed && !IsRunning && IsIdle))
+      Ended.push_back(Number);
+  }
+  for (session_number Number : Ended) {
+    Clients.close(Number);
+    remove(Number, Now);
+  }
+}
+
+base::json session_engine::dump() const {
+  base::json Result = base::json::object();
+  Result["configuration_version"] = Catalog ? Catalog->Version : 0;
+  Result["sessions"] = Sessions.size();
+  Result["waiting"] = Waiting.size();
+  Result["draining"] = IsDraining;
+  Result["instances"] = Pool.dump();
+  Result["fleet"] = Members.dump();
+  for (const auto &[Id, Group] : Groups)
+    Result["groups"][Id.str()] = Group->dump();
+  return Result;
+}
+
+} // namespace radishrelay::sessions
--- /dev/null
+++ b/packages/sessions/src/session_replies.cpp
@@ -0,0 +1,429 @@
+// What a session does with the answers and failures of instances.
+#include "radishrelay/sessions/session_engine.h"
+
+#include <algorithm>
+
+namespace radishrelay::sessions {
+
+namespace {
+
+constexpr std::uint32_t MaxAttempts = 5;
+/// Weight of one read in the smoothed time of an instance's reads.
+constexpr double ReadSmoothing = 0.2;
+/// A replica that lacked a position is left alone for this long, doubled each
+/// time up to the longest.
+constexpr base::duration FirstLagPause = std::chrono::milliseconds(40);
+constexpr base::duration LongestLagPause = std::chrono::milliseconds(640);
+/// An instance that failed gets no read for this long if there is another.
+constexpr base::duration FailurePause = std::chrono::milliseconds(1000);
+
+} // namespace
+
+void session_engine::backendOpened(backend_number Number,
+                                   base::time_point Now) {
+  connection *Connection = Pool.find(Number);
+  if (!Connection || Connection->Use != detail::connection_use::Opening)
+    return;
+  Connection->Deadline = base::time_point::max();
+  if (Connection->FirstCall) {
+    backend_request Call = *Connection->FirstCall;
+    Connection->FirstCall.reset();
+    Connection->Use = detail::connection_use::Control;
+    Connection->Deadline = Now + Options.StatusTimeout;
+    Pool.send(*Connection, Call, Now);
+    return;
+  }
+  auto Entry = Connection->Session ? Sessions.find(*Connection->Session)
+                                   : Sessions.end();
+  if (Entry == Sessions.end() || !Entry->second.Current) {
+    Pool.release(*Connection, Now);
+    ShouldServeWaiting = true;
+    return;
+  }
+  Connection->Use = detail::connection_use::Session;
+  prepareConnection(Entry->second, *Connection, Now);
+}
+
+void session_engine::backendLost(backend_number Number,
+                                 std::optional<refusal> Reason,
+                                 base::time_point Now) {
+  connection *Connection = Pool.find(Number);
+  if (!Connection)
+    return;
+  base::instance_id Instance = Connection->Instance;
+  std::optional<session_number> Owner = Connection->Session;
+  bool WasIdle = Connection->Use == detail::connection_use::Idle;
+  supervisor *Group = groupOf(Connection->Group);
+  Pool.discard(Number);
+  ShouldServeWaiting = true;
+  if (Reason)
+    noteRefusal(Instance, *Reason, Now);
+  else if (Group && !WasIdle)
+    Group->noteFailure(Instance, Now);
+  auto Entry = Owner ? Sessions.find(*Owner) : Sessions.end();
+  if (Entry != Sessions.end())
+    connectionLost(Entry->second, Instance, Reason, Now);
+}
+
+void session_engine::noteRefusal(const base::instance_id &Instance,
+                                 refusal Reason, base::time_point Now) {
+  auto View = Instances.find(Instance);
+  if (View == Instances.end())
+    return;
+  supervisor *Group = groupOf(View->second.Listing.Group);
+  switch (Reason) {
+  case refusal::TooMany:
+    Pool.noteLimitReached(Instance, Now);
+    break;
+  case refusal::Misrouted:
+    View->second.AvoidUntil = Now + FailurePause;
+    break;
+  case refusal::Lagging:
+    View->second.LagPause =
+        std::clamp(View->second.LagPause * 2, FirstLagPause, LongestLagPause);
+    View->second.LaggingUntil = Now + View->second.LagPause;
+    break;
+  case refusal::ReadOnly:
+    if (Group) {
+      Group->leadership().noteNotPrimary(Instance);
+      Group->wantProof(Now);
+    }
+    break;
+  default:
+    break;
+  }
+}
+
+void session_engine::backendReplied(backend_number Number,
+                                    const backend_reply &Reply,
+                                    base::time_point Now) {
+  connection *Connection = Pool.find(Number);
+  if (!Connection)
+    return;
+  if (Connection->Outstanding.empty()) {
+    backendLost(Number, std::nullopt, Now); // an answer to nothing
+    return;
+  }
+  base::time_point SentAt = Connection->Outstanding.front().SentAt;
+  Connection->Outstanding.pop_front();
+  if (Connection->Use == detail::connection_use::Control) {
+    controlReplied(*Connection, Reply, SentAt, Now);
+    return;
+  }
+  if (Connection->Use == detail::connection_use::Cleaning) {
+    if (!Connection->Outstanding.empty())
+      return;
+    if (Reply.Phase == session_phase::Idle)
+      Pool.release(*Connection, Now);
+    else
+      Pool.discard(Number);
+    ShouldServeWaiting = true;
+    return;
+  }
+  auto Entry = Connection->Session ? Sessions.find(*Connection->Session)
+                                   : Sessions.end();
+  if (Entry == Sessions.end() || !Entry->second.Current) {
+    Pool.discard(Number);
+    return;
+  }
+  sessionReplied(Entry->second, *Connection, Reply, SentAt, Now);
+}
+
+void session_engine::controlReplied(connection &Connection,
+                                    const backend_reply &Reply,
+                                    base::time_point SentAt,
+                                    base::time_point Now) {
+  base::instance_id Instance = Connection.Instance;
+  supervisor *Group = groupOf(Connection.Group);
+  Pool.release(Connection, Now);
+  ShouldServeWaiting = true;
+  auto View = Instances.find(Instance);
+  if (View != Instances.end() && Reply.Condition)
+    View->second.Seen = std::max(View->second.Seen, Reply.Condition->Received);
+  if (Group && Reply.Condition)
+    Group->callAnswered(Instance, *Reply.Condition, SentAt, Now);
+}
+
+void session_engine::sessionReplied(session &Session, connection &Connection,
+                                    const backend_reply &Reply,
+                                    base::time_point SentAt,
+                                    base::time_point Now) {
+  operation &Operation = *Session.Current;
+  switch (Operation.Stage) {
+  case stage::Preparing:
+    if (Reply.Error) {
+      // What is set on the connection is no longer known.
+      Pool.discard(Connection.Number);
+      tryElsewhere(Session, nullptr, refusal::Busy, session_phase::Idle, Now);
+    } else if (--Operation.AwaitedReplies == 0) {
+      beginOrSend(Session, Connection, Now);
+    }
+    return;
+  case stage::Beginning:
+    noteReply(Connection, Session, Reply, SentAt, Now);
+    beginReplied(Session, Connection, Reply, Now);
+    return;
+  case stage::Running:
+    noteReply(Connection, Session, Reply, SentAt, Now);
+    statementReplied(Session, Connection, Reply, SentAt, Now);
+    return;
+  default:
+    backendLost(Connection.Number, std::nullopt, Now);
+  }
+}
+
+void session_engine::noteReply(const connection &Connection,
+                               const session &Session,
+                               const backend_reply &Reply,
+                               base::time_point SentAt, base::time_point Now) {
+  auto View = Instances.find(Connection.Instance);
+  supervisor *Group = groupOf(Connection.Group);
+  if (View == Instances.end() || !Group)
+    return;
+  if (Reply.Error) {
+    noteRefusal(Connection.Instance, *Reply.Error, Now);
+    return;
+  }
+  const operation &Operation = *Session.Current;
+  bool IsRunning = Operation.Stage == stage::Running;
+  bool IsRead = IsRunning && !Operation.IsWrite &&
+                Operation.Statement.Kind != statement_kind::Commit;
+  if (IsRead) {
+    double Took = static_cast<double>((Now - SentAt).count());
+    double &Smoothed = View->second.ReadMicroseconds;
+    Smoothed =
+        Smoothed > 0 ? Smoothed + ReadSmoothing * (Took - Smoothed) : Took;
+  }
+  if (!Reply.Position)
+    return;
+  View->second.Seen = std::max(View->second.Seen, *Reply.Position);
+  View->second.LagPause = {};
+  bool IsSingleWrite =
+      Operation.IsWrite && Session.Phase != session_phase::InTransaction;
+  bool IsCommit = Operation.Statement.Kind == statement_kind::Commit &&
+                  Session.Transaction.HasWritten;
+  if (IsRunning && (IsSingleWrite || IsCommit))
+    Group->noteCommit(Connection.Instance, *Reply.Position, SentAt);
+  else
+    Group->leadership().notePosition(Connection.Instance, *Reply.Position,
+                                     SentAt);
+}
+
+void session_engine::beginReplied(session &Session, connection &Connection,
+                                  const backend_reply &Reply,
+                                  base::time_point Now) {
+  if (!Reply.Error) {
+    Session.Transaction.HasBegun = true;
+    sendStatement(Session, Connection, Now);
+    return;
+  }
+  if (canTryElsewhere(Session, *Reply.Error, Now)) {
+    tryElsewhere(Session, &Connection, *Reply.Error, Reply.Phase, Now);
+    return;
+  }
+  putBack(Connection, Reply.Phase, Now);
+  Session.Transaction.Connection.reset();
+  answerError(Session, refusal::Aborted,
+              "the instance did not open the transaction", Now);
+}
+
+void session_engine::statementReplied(session &Session, connection &Connection,
+                                      const backend_reply &Reply,
+                                      base::time_point, base::time_point Now) {
+  if (Reply.Error)
+    statementFailed(Session, Connection, Reply, Now);
+  else
+    statementSucceeded(Session, Connection, Reply, Now);
+}
+
+void session_engine::statementSucceeded(session &Session,
+                                        connection &Connection,
+                                        const backend_reply &Reply,
+                                        base::time_point Now) {
+  operation &Operation = *Session.Current;
+  detail::transaction_state &Transaction = Session.Transaction;
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  bool IsCommit = Operation.Statement.Kind == statement_kind::Commit;
+  bool HasCommitted =
+      IsCommit ? Transaction.HasWritten : Operation.IsWrite && !IsInTransaction;
+  if (HasCommitted && Reply.Position) {
+    Session.LastCommit = Reply.Position;
+    Session.CommitGroup = Connection.Group;
+  }
+  if (!IsCommit && !Operation.IsWrite) {
+    supervisor *Group = groupOf(Connection.Group);
+    bool IsPrimary =
+        Group && Group->leadership().primary() == Connection.Instance;
+    ++(IsPrimary ? Counters.ReadsOnPrimaries : Counters.ReadsOnReplicas);
+  }
+  client_answer Answer;
+  Answer.Rows = Reply.Rows;
+  Answer.Receipt = Reply.Receipt;
+  if (IsInTransaction && !IsCommit) {
+    Transaction.HasRun = true;
+    Transaction.HasWritten = Transaction.HasWritten || Operation.IsWrite;
+    Transaction.LastUsedAt = Now;
+  } else {
+    putBack(Connection, Reply.Phase, Now);
+    Transaction = {};
+    Session.Phase = session_phase::Idle;
+  }
+  answer(Session, std::move(Answer), Now);
+}
+
+void session_engine::statementFailed(session &Session, connection &Connection,
+                                     const backend_reply &Reply,
+                                     base::time_point Now) {
+  refusal Reason = *Reply.Error;
+  if (canTryElsewhere(Session, Reason, Now)) {
+    tryElsewhere(Session, &Connection, Reason, Reply.Phase, Now);
+    return;
+  }
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  bool IsCommit = Session.Current->Statement.Kind == statement_kind::Commit;
+  putBack(Connection, Reply.Phase, Now);
+  Session.Transaction.Connection.reset();
+  Session.Transaction.HasBegun = false;
+  // The transaction is rolled back, whatever became of its statement.
+  if (IsInTransaction && !IsCommit && !promisesNothingKept(Reason))
+    Reason = refusal::Aborted;
+  answerError(Session, Reason, "the instance refused: " + Reply.ErrorText, Now);
+}
+
+void session_engine::putBack(connection &Connection, session_phase BackendPhase,
+                             base::time_point Now) {
+  if (BackendPhase == session_phase::Idle)
+    Pool.release(Connection, Now);
+  else
+    Pool.clean(Connection, Now);
+  ShouldServeWaiting = true;
+}
+
+bool session_engine::canTryElsewhere(const session &Session, refusal Reason,
+                                     base::time_point Now) const {
+  const operation &Operation = *Session.Current;
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  if (IsInTransaction && Session.Transaction.HasRun)
+    return false;
+  bool IsCommit = Operation.Statement.Kind == statement_kind::Commit;
+  bool IsSafe =
+      promisesNothingKept(Reason) || (!Operation.IsWrite && !IsCommit);
+  bool IsInTime = Now < Operation.ReceivedAt + Session.Route.StatementTimeout;
+  return IsSafe && IsInTime && Operation.Attempts < MaxAttempts;
+}
+
+void session_engine::tryElsewhere(session &Session, connection *Connection,
+                                  refusal Reason, session_phase BackendPhase,
+                                  base::time_point Now) {
+  operation &Operation = *Session.Current;
+  ++Counters.RetriedElsewhere;
+  if (Connection) {
+    if (!needsPrimary(Session))
+      Operation.Avoid.insert(Connection->Instance);
+    putBack(*Connection, BackendPhase, Now);
+  }
+  if (Reason == refusal::Busy || Reason == refusal::TooMany ||
+      Reason == refusal::ReadOnly)
+    Operation.NotBefore = Now + Options.BusyRetryDelay;
+  Operation.LastRefusal = promisesNothingKept(Reason)
+                              ? std::optional<refusal>(Reason)
+                              : std::nullopt;
+  detach(Session);
+  Session.Transaction.Connection.reset();
+  Session.Transaction.HasBegun = false;
+  chooseInstance(Session, Now);
+}
+
+void session_engine::connectionLost(session &Session,
+                                    const base::instance_id &Instance,
+                                    std::optional<refusal> Reason,
+                                    base::time_point Now) {
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  if (!Session.Current) {
+    if (IsInTransaction) {
+      Session.Transaction.Connection.reset();
+      Session.Transaction.HasBegun = false;
+      Session.Transaction.EndedBecause =
+          "the connection of the transaction was lost";
+    }
+    return;
+  }
+  operation &Operation = *Session.Current;
+  auto View = Instances.find(Instance);
+  if (!Reason && View != Instances.end())
+    View->second.AvoidUntil = Now + FailurePause;
+  bool HasRun = Operation.Stage == stage::Running;
+  bool IsCommit = Operation.Statement.Kind == statement_kind::Commit;
+  bool MayHaveCommitted =
+      HasRun && (IsCommit || (Operation.IsWrite && !IsInTransaction));
+  if (MayHaveCommitted) {
+    answerError(Session, refusal::InDoubt,
+                "the connection was lost while the commit ran", Now);
+    return;
+  }
+  if (!needsPrimary(Session))
+    Operation.Avoid.insert(Instance);
+  if (canTryElsewhere(Session, refusal::Busy, Now)) {
+    tryElsewhere(Session, nullptr, Reason.value_or(refusal::Busy),
+                 session_phase::Idle, Now);
+    return;
+  }
+  answerError(Session, IsInTransaction ? refusal::Aborted : refusal::Busy,
+              "the connection to the instance was lost", Now);
+}
+
+void session_engine::operationDue(session &Session, base::time_point Now) {
+  operation &Operation = *Session.Current;
+  switch (Operation.Stage) {
+  case stage::AwaitingToken:
+  case stage::AwaitingInstance:
+    advanceOperation(Session, Now);
+    return;
+  case stage::Opening:
+    if (connection *Connection = connectionOf(Session))
+      Connection->Session.reset();
+    detach(Session);
+    Session.Transaction.Connection.reset();
+    answerError(Session, refusal::Busy,
+                "no connection to the instance was open in time", Now);
+    return;
+  default:
+    statementTimedOut(Session, Now);
+  }
+}
+
+void session_engine::statementTimedOut(session &Session, base::time_point Now) {
+  operation &Operation = *Session.Current;
+  connection *Connection = connectionOf(Session);
+  base::instance_id Instance =
+      Connection ? Connection->Instance : base::instance_id();
+  supervisor *Group = groupOf(Session.Route.Group);
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  bool HasRun = Operation.Stage == stage::Running;
+  bool IsCommit = Operation.Statement.Kind == statement_kind::Commit;
+  bool MayHaveCommitted =
+      HasRun && (IsCommit || (Operation.IsWrite && !IsInTransaction));
+  if (Group && MayHaveCommitted)
+    Group->noteWriteTimeout(Instance, Now);
+  if (Group)
+    Group->noteFailure(Instance, Now);
+  if (Connection)
+    Pool.discard(Connection->Number);
+  ShouldServeWaiting = true;
+  Session.Transaction.Connection.reset();
+  Session.Transaction.HasBegun = false;
+  if (MayHaveCommitted) {
+    answerError(Session, refusal::InDoubt,
+                "the instance did not answer the commit in time", Now);
+    return;
+  }
+  Operation.Avoid.insert(Instance);
+  if (canTryElsewhere(Session, refusal::Busy, Now)) {
+    tryElsewhere(Session, nullptr, refusal::Timeout, session_phase::Idle, Now);
+    return;
+  }
+  answerError(Session, IsInTransaction ? refusal::Aborted : refusal::Timeout,
+              "the instance did not answer in time", Now);
+}
+
+} // namespace radishrelay::sessions
--- /dev/null
+++ b/packages/sessions/src/session_routing.cpp
@@ -0,0 +1,362 @@
+// Which instance and connection a statement gets, and how long it waits.
+#include "radishrelay/sessions/session_engine.h"
+
+#include <algorithm>
+
+namespace radishrelay::sessions {
+
+namespace {
+
+/// Cost of a read on another failure domain, in microseconds of latency that
+/// it is worth: traffic between domains is expensive.
+constexpr std::int64_t OtherDomainCost = 25'000;
+/// Cost of opening a connection: its time on the instance and the round trips.
+constexpr std::int64_t OpenCost = 14'000;
+/// Cost of a read on a primary, which has the writes to serve.
+constexpr std::int64_t PrimaryCost = 15'000;
+/// Cost of asking a replica that may not have the position yet.
+constexpr std::int64_t UnseenCost = 3'000;
+/// Expected time of a read before any was measured.
+constexpr double FirstReadMicroseconds = 20'000;
+/// Wait for a token of the account's limit, as part of the latency target.
+constexpr int TokenWaitDivisor = 4;
+/// Time in which a loan of tokens arrives from another host.
+constexpr base::duration LoanWait = std::chrono::milliseconds(25);
+/// Shortest time in which a waiting operation looks again.
+constexpr base::duration Recheck = std::chrono::milliseconds(20);
+/// Part of the statement's time-out after which a read is tried elsewhere.
+constexpr int ReadAttemptNumerator = 3;
+constexpr int ReadAttemptDenominator = 5;
+
+} // namespace
+
+void session_engine::advanceOperation(session &Session, base::time_point Now) {
+  if (Session.Current->Stage == stage::AwaitingToken)
+    takeToken(Session, Now);
+  else if (Session.Current->Stage == stage::AwaitingInstance)
+    chooseInstance(Session, Now);
+}
+
+void session_engine::takeToken(session &Session, base::time_point Now) {
+  operation &Operation = *Session.Current;
+  if (!Operation.NeedsToken || Members.admit(Session.Account, Now)) {
+    Operation.NeedsToken = false;
+    Operation.Stage = stage::AwaitingInstance;
+    bool IsBegin = Operation.Statement.Kind == statement_kind::Begin ||
+                   Operation.Statement.Kind == statement_kind::BeginReadOnly;
+    if (IsBegin)
+      begin(Session, Now);
+    else
+      chooseInstance(Session, Now);
+    return;
+  }
+  base::time_point Limit =
+      Operation.ReceivedAt +
+      std::max(LoanWait, Session.Route.TargetLatency / TokenWaitDivisor);
+  base::time_point Next = Members.nextTokenAt(Session.Account);
+  base::time_point LoanBy = Operation.ReceivedAt + LoanWait;
+  if (Next > Limit && Now >= LoanBy) {
+    ++Counters.RateExceeded;
+    answerError(Session, refusal::TooMany,
+                "the rate of the client account is exceeded", Now);
+    return;
+  }
+  constexpr base::duration Tick = std::chrono::milliseconds(1);
+  setWake(Session,
+          std::max(std::min(Next, std::max(LoanBy, Now + Tick)), Now + Tick));
+}
+
+bool session_engine::needsPrimary(const session &Session) const {
+  const operation &Operation = *Session.Current;
+  if (Session.Route.Consistency == read_consistency::Primary ||
+      Operation.IsWrite)
+    return true;
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  return IsInTransaction && !Session.Transaction.IsReadOnly;
+}
+
+std::optional<groups::log_position>
+session_engine::neededPosition(const session &Session,
+                               const supervisor &Group) const {
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  base::time_point StartedAt = IsInTransaction ? Session.Transaction.StartedAt
+                                               : Session.Current->ReceivedAt;
+  std::optional<groups::log_position> Position =
+      Group.leadership().positionSince(StartedAt - Session.Route.MaxStaleness);
+  bool HasOwnCommit =
+      Session.LastCommit && Session.CommitGroup == Session.Route.Group &&
+      Session.Route.Consistency == read_consistency::ReadYourWrites;
+  if (Position && HasOwnCommit)
+    Position = std::max(*Position, *Session.LastCommit);
+  return Position;
+}
+
+void session_engine::chooseInstance(session &Session, base::time_point Now) {
+  operation &Operation = *Session.Current;
+  Operation.Stage = stage::AwaitingInstance;
+  if (Session.Transaction.Connection) {
+    connection *Connection = Pool.find(*Session.Transaction.Connection);
+    if (Connection)
+      prepareConnection(Session, *Connection, Now);
+    else
+      answerError(Session, refusal::Aborted,
+                  "the connection of the transaction was lost", Now);
+    return;
+  }
+  if (Now < Operation.NotBefore) {
+    setWake(Session, Operation.NotBefore);
+    return;
+  }
+  if (needsPrimary(Session) || !chooseReplica(Session, Now))
+    choosePrimary(Session, Now);
+}
+
+base::time_point session_engine::waitLimit(const session &Session,
+                                           const supervisor &Group,
+                                           base::time_point Now) const {
+  const operation &Operation = *Session.Current;
+  base::time_point Limit =
+      Operation.ReceivedAt +
+      std::min(Session.Route.TargetLatency, Session.Route.StatementTimeout);
+  if (!Group.isPrimaryLost() || Group.usablePrimary(Now))
+    return Limit;
+  // Without a promotion under way the wait would outlast the statement.
+  return Group.isPromotionOrdered()
+             ? Operation.ReceivedAt + Options.PromotionPatience
+             : Now;
+}
+
+void session_engine::giveUpWaiting(session &Session, const std::string &Reason,
+                                   base::time_point Now) {
+  answerError(Session, Session.Current->LastRefusal.value_or(refusal::Busy),
+              Reason, Now);
+}
+
+void session_engine::choosePrimary(session &Session, base::time_point Now) {
+  operation &Operation = *Session.Current;
+  supervisor *Group = groupOf(Session.Route.Group);
+  if (!Group) {
+    answerError(Session, refusal::Busy, "the database group is not known", Now);
+    return;
+  }
+  Group->wantProof(Now);
+  std::optional<base::instance_id> Primary = Group->usablePrimary(Now);
+  auto View = Primary ? Instances.find(*Primary) : Instances.end();
+  bool IsUsable = View != Instances.end() &&
+                  (!View->second.Listing.Draining ||
+                   Now < View->second.DrainingSince + Options.LeavingUse);
+  if (IsUsable && attach(Session, *Primary, Now))
+    return;
+  base::time_point Limit = waitLimit(Session, *Group, Now);
+  if (Now >= Limit) {
+    giveUpWaiting(Session,
+                  IsUsable ? "all connections to the primary are in use"
+                           : "no primary is proved",
+                  Now);
+    return;
+  }
+  Waiting.emplace(Session.Route.Priority, Operation.ReceivedAt, Session.Number);
+  setWake(Session, std::min(Limit, Now + Recheck));
+}
+
+std::int64_t session_engine::readCost(const instance_view &View,
+                                      const session &Session,
+                                      std::optional<groups::log_position> After,
+                                      base::time_point Now) const {
+  const base::instance_id &Instance = View.Listing.Instance;
+  double Read =
+      View.ReadMicroseconds > 0 ? View.ReadMicroseconds : FirstReadMicroseconds;
+  auto Cost = static_cast<std::int64_t>(
+      Read * static_cast<double>(1 + Pool.busy(Instance)));
+  if (View.Listing.Domain != Options.Domain)
+    Cost += OtherDomainCost;
+  if (Pool.room(Instance, Session.Account) == detail::pool_room::Open)
+    Cost += OpenCost;
+  if (View.Listing.Role == groups::instance_role::Primary)
+    Cost += PrimaryCost;
+  else if (After && View.Seen < *After)
+    Cost += UnseenCost;
+  // An instance that failed is used again only when the others are worse.
+  if (Now < View.AvoidUntil)
+    Cost += (View.AvoidUntil - Now).count();
+  return Cost;
+}
+
+bool session_engine::chooseReplica(session &Session, base::time_point Now) {
+  operation &Operation = *Session.Current;
+  supervisor *Group = groupOf(Session.Route.Group);
+  if (!Group)
+    return false;
+  Group->wantProof(Now);
+  std::optional<groups::log_position> After = neededPosition(Session, *Group);
+  if (!After)
+    return false;
+  std::optional<base::instance_id> Primary = Group->usablePrimary(Now);
+  const instance_view *Best = nullptr;
+  std::int64_t BestCost = 0;
+  bool IsAnyFull = false;
+  for (const auto &[Instance, View] : Instances) {
+    bool IsLagging = View.Seen < *After && Now < View.LaggingUntil;
+    bool IsCandidate = View.Listing.Group == Session.Route.Group &&
+                       !View.Listing.Draining && !IsLagging &&
+                       !Operation.Avoid.contains(Instance);
+    if (!IsCandidate)
+      continue;
+    if (Pool.room(Instance, Session.Account) == detail::pool_room::Full) {
+      IsAnyFull = true;
+      continue;
+    }
+    std::int64_t Cost = readCost(View, Session, After, Now);
+    if (!Best || Cost < BestCost) {
+      Best = &View;
+      BestCost = Cost;
+    }
+  }
+  if (Best && attach(Session, Best->Listing.Instance, Now))
+    return true;
+  base::time_point Limit = Operation.ReceivedAt + Session.Route.TargetLatency;
+  if (!IsAnyFull || Now >= Limit)
+    return false;
+  Waiting.emplace(Session.Route.Priority, Operation.ReceivedAt, Session.Number);
+  setWake(Session, std::min(Limit, Now + Recheck));
+  return true;
+}
+
+bool session_engine::attach(session &Session, const base::instance_id &Instance,
+                            base::time_point Now) {
+  connection *Connection = Pool.acquire(Instance, Session.Account,
+                                        Session.Number, Session.Values, Now);
+  if (!Connection)
+    return false;
+  operation &Operation = *Session.Current;
+  Waiting.erase({Session.Route.Priority, Operation.ReceivedAt, Session.Number});
+  ++Operation.Attempts;
+  if (Session.Phase == session_phase::InTransaction)
+    Session.Transaction.Connection = Connection->Number;
+  else
+    Attached[Session.Number] = Connection->Number;
+  if (Connection->Use == detail::connection_use::Opening) {
+    Operation.Stage = stage::Opening;
+    setWake(Session, Operation.ReceivedAt + Session.Route.StatementTimeout);
+  } else {
+    prepareConnection(Session, *Connection, Now);
+  }
+  return true;
+}
+
+void session_engine::prepareConnection(session &Session, connection &Connection,
+                                       base::time_point Now) {
+  operation &Operation = *Session.Current;
+  std::vector<backend_request> Requests;
+  bool HasForeignValue =
+      std::ranges::any_of(Connection.Values, [&](const auto &Value) {
+        return !Session.Values.contains(Value.first);
+      });
+  if (HasForeignValue) {
+    backend_request Reset;
+    Reset.Verb = backend_verb::Reset;
+    Requests.push_back(Reset);
+    Connection.Values.clear();
+    Connection.Prepared.clear();
+  }
+  for (const auto &[Name, Value] : Session.Values) {
+    auto Known = Connection.Values.find(Name);
+    if (Known != Connection.Values.end() && Known->second == Value)
+      continue;
+    backend_request Set;
+    Set.Verb = backend_verb::SetValue;
+    Set.Name = Name;
+    Set.Text = Value;
+    Requests.push_back(Set);
+  }
+  Connection.Values = Session.Values;
+  if (Operation.Statement.Kind == statement_kind::Execute) {
+    const detail::prepared_shape &Shape =
+        Session.Prepared.at(Operation.Statement.Name);
+    std::string &Name =
+        Connection.Prepared[(Shape.Writes ? "W" : "R") + Shape.Shape];
+    if (Name.empty()) {
+      Name = "p" + std::to_string(++Connection.LastPreparedName);
+      backend_request Prepare;
+      Prepare.Verb = backend_verb::Prepare;
+      Prepare.Name = Name;
+      Prepare.Text = Shape.Shape;
+      Prepare.Writes = Shape.Writes;
+      Requests.push_back(Prepare);
+    }
+  }
+  Operation.AwaitedReplies = Requests.size();
+  setWake(Session, Operation.ReceivedAt + Session.Route.StatementTimeout);
+  if (Requests.empty()) {
+    beginOrSend(Session, Connection, Now);
+    return;
+  }
+  Operation.Stage = stage::Preparing;
+  for (const backend_request &Request : Requests)
+    Pool.send(Connection, Request, Now);
+}
+
+void session_engine::beginOrSend(session &Session, connection &Connection,
+                                 base::time_point Now) {
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  if (!IsInTransaction || Session.Transaction.HasBegun) {
+    sendStatement(Session, Connection, Now);
+    return;
+  }
+  backend_request Begin;
+  Begin.Verb = Session.Transaction.IsReadOnly ? backend_verb::BeginReadOnly
+                                              : backend_verb::Begin;
+  if (!needsPrimary(Session))
+    if (supervisor *Group = groupOf(Session.Route.Group))
+      Begin.After = neededPosition(Session, *Group);
+  Session.Current->Stage = stage::Beginning;
+  Pool.send(Connection, Begin, Now);
+}
+
+void session_engine::sendStatement(session &Session, connection &Connection,
+                                   base::time_point Now) {
+  operation &Operation = *Session.Current;
+  backend_request Request;
+  Request.Id = Operation.Id;
+  if (Operation.Statement.Kind == statement_kind::Execute) {
+    const detail::prepared_shape &Shape =
+        Session.Prepared.at(Operation.Statement.Name);
+    Request.Verb = backend_verb::Execute;
+    Request.Name =
+        Connection.Prepared.at((Shape.Writes ? "W" : "R") + Shape.Shape);
+    Request.Text = Operation.Statement.Value;
+  } else {
+    Request.Verb = backend_verb::Forward;
+    Request.Text = Operation.Statement.Text;
+  }
+  bool IsSingle = Session.Phase != session_phase::InTransaction;
+  if (IsSingle && !needsPrimary(Session))
+    if (supervisor *Group = groupOf(Session.Route.Group))
+      Request.After = neededPosition(Session, *Group);
+  Operation.Stage = stage::Running;
+  Operation.SentAt = Now;
+  base::time_point Deadline =
+      Operation.ReceivedAt + Session.Route.StatementTimeout;
+  bool CanRepeat = IsSingle && !Operation.IsWrite;
+  if (CanRepeat)
+    Deadline = std::min(Deadline, Now + Session.Route.StatementTimeout *
+                                            ReadAttemptNumerator /
+                                            ReadAttemptDenominator);
+  setWake(Session, Deadline);
+  Pool.send(Connection, Request, Now);
+}
+
+void session_engine::serveWaiting(base::time_point Now) {
+  ShouldServeWaiting = false;
+  std::vector<session_number> Numbers;
+  for (const auto &[Priority, ReceivedAt, Number] : Waiting)
+    Numbers.push_back(Number);
+  for (session_number Number : Numbers) {
+    auto Entry = Sessions.find(Number);
+    if (Entry != Sessions.end() && Entry->second.Current &&
+        Entry->second.Current->Stage == stage::AwaitingInstance)
+      chooseInstance(Entry->second, Now);
+  }
+}
+
+} // namespace radishrelay::sessions
--- /dev/null
+++ b/packages/sessions/src/session_statements.cpp
@@ -0,0 +1,272 @@
+// What a session does with its client's messages.
+#include "radishrelay/sessions/session_engine.h"
+
+namespace radishrelay::sessions {
+
+namespace {
+
+/// Statements that a client may send ahead of the answers.
+constexpr std::size_t MaxFollowing = 64;
+
+} // namespace
+
+std::optional<client_answer> session_engine::resolveRoute(session &Session) {
+  client_answer Error;
+  if (!Catalog) {
+    Error.Error = refusal::Busy;
+    Error.ErrorText = "the configuration is not known yet";
+    return Error;
+  }
+  auto Route = Catalog->Routes.find(Session.Database);
+  if (Route == Catalog->Routes.end()) {
+    Error.Error = refusal::UnknownDatabase;
+    Error.ErrorText = "no route names this database";
+    return Error;
+  }
+  auto Key = Catalog->Keys.find(Session.Key);
+  bool IsKnown = Key != Catalog->Keys.end();
+  if (!IsKnown && !Route->second.Open) {
+    Error.Error = refusal::UnknownKey;
+    Error.ErrorText = "no client account holds this key";
+    return Error;
+  }
+  Session.Route = Route->second;
+  Session.Account = IsKnown ? Key->second : base::account_id();
+  return std::nullopt;
+}
+
+void session_engine::start(session &Session, const start_session &Message) {
+  if (Session.IsStarted) {
+    Clients.close(Session.Number);
+    Sessions.erase(Session.Number);
+    return;
+  }
+  Session.Database = Message.Database;
+  Session.Key = Message.Key;
+  if (std::optional<client_answer> Error = resolveRoute(Session)) {
+    ++Counters.SessionsRejected;
+    if (Log.wantsDecision(true))
+      Log.decision("session rejected",
+                   {{"database", Message.Database},
+                    {"reason", refusalName(*Error->Error)},
+                    {"configuration", Catalog ? Catalog->Version : 0}});
+    Clients.reject(Session.Number, *Error->Error, Error->ErrorText);
+    Sessions.erase(Session.Number);
+    return;
+  }
+  Session.IsStarted = true;
+  ++Counters.SessionsStarted;
+  Clients.accept(Session.Number);
+}
+
+void session_engine::run(session &Session, const run_statement &Message,
+                         base::time_point Now) {
+  if (!Session.IsStarted) {
+    Clients.close(Session.Number);
+    Sessions.erase(Session.Number);
+    return;
+  }
+  if (Session.Current) {
+    if (Session.Following.size() < MaxFollowing) {
+      Session.Following.push_back(Message);
+    } else {
+      Clients.close(Session.Number);
+      remove(Session.Number, Now);
+    }
+    return;
+  }
+  if (Session.Phase == session_phase::FailedTransaction)
+    runInFailedTransaction(Session, Message.Statement, Now);
+  else if (!runLocally(Session, Message.Statement, Now))
+    runOnInstance(Session, Message, Now);
+}
+
+void session_engine::runInFailedTransaction(session &Session,
+                                            const statement &Statement,
+                                            base::time_point Now) {
+  bool IsEnd = Statement.Kind == statement_kind::Rollback ||
+               Statement.Kind == statement_kind::Commit;
+  client_answer Answer;
+  if (!IsEnd) {
+    Answer.Error = refusal::Malformed;
+    Answer.ErrorText = "the transaction has failed; roll it back";
+  } else {
+    Session.Phase = session_phase::Idle;
+    Session.Transaction = {};
+    if (Statement.Kind == statement_kind::Commit) {
+      Answer.Error = refusal::Aborted;
+      Answer.ErrorText = "the transaction has failed and was rolled back";
+    }
+  }
+  answer(Session, std::move(Answer), Now);
+}
+
+bool session_engine::runLocally(session &Session, const statement &Statement,
+                                base::time_point Now) {
+  client_answer Answer;
+  switch (Statement.Kind) {
+  case statement_kind::Malformed:
+    Answer.Error = refusal::Malformed;
+    Answer.ErrorText = "the statement cannot be read";
+    break;
+  case statement_kind::SetValue:
+    Session.Values[Statement.Name] = Statement.Value;
+    break;
+  case statement_kind::Prepare:
+    Session.Prepared[Statement.Name] = {Statement.Value, Statement.Writes};
+    break;
+  case statement_kind::Deallocate:
+    if (Session.Prepared.erase(Statement.Name) == 0) {
+      Answer.Error = refusal::UnknownName;
+      Answer.ErrorText = "no statement of this name is prepared";
+    }
+    break;
+  case statement_kind::Rollback:
+    rollBack(Session, Now);
+    return true;
+  default:
+    return false;
+  }
+  answer(Session, std::move(Answer), Now);
+  return true;
+}
+
+void session_engine::rollBack(session &Session, base::time_point Now) {
+  endTransaction(Session, Now);
+  answer(Session, {}, Now);
+}
+
+void session_engine::endTransaction(session &Session, base::time_point Now) {
+  if (connection *Connection = connectionOf(Session)) {
+    if (Session.Transaction.HasBegun)
+      Pool.clean(*Connection, Now);
+    else
+      Pool.release(*Connection, Now);
+    ShouldServeWaiting = true;
+  }
+  detach(Session);
+  Session.Transaction = {};
+  Session.Phase = session_phase::Idle;
+}
+
+void session_engine::runOnInstance(session &Session,
+                                   const run_statement &Message,
+                                   base::time_point Now) {
+  const statement &Statement = Message.Statement;
+  bool IsBegin = Statement.Kind == statement_kind::Begin ||
+                 Statement.Kind == statement_kind::BeginReadOnly;
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  bool IsCommit = Statement.Kind == statement_kind::Commit;
+  operation Operation;
+  Operation.Id = Message.Id;
+  Operation.Statement = Statement;
+  Operation.ReceivedAt = Now;
+  Operation.IsWrite = Statement.Kind == statement_kind::Write;
+  if (Statement.Kind == statement_kind::Execute) {
+    auto Prepared = Session.Prepared.find(Statement.Name);
+    if (Prepared == Session.Prepared.end()) {
+      answerError(Session, refusal::UnknownName,
+                  "no statement of this name is prepared", Now);
+      return;
+    }
+    Operation.IsWrite = Prepared->second.Writes;
+  }
+  bool IsMisplaced = IsBegin ? IsInTransaction : IsCommit && !IsInTransaction;
+  if (IsMisplaced) {
+    answerError(Session, refusal::Malformed,
+                IsBegin ? "a transaction is open" : "no transaction is open",
+                Now);
+    return;
+  }
+  if (!IsInTransaction) {
+    if (std::optional<client_answer> Error = resolveRoute(Session)) {
+      answer(Session, std::move(*Error), Now);
+      return;
+    }
+    Operation.NeedsToken = !Session.Account.empty();
+  }
+  Operation.Stage =
+      Operation.NeedsToken ? stage::AwaitingToken : stage::AwaitingInstance;
+  Session.Current = std::move(Operation);
+  if (!Session.Transaction.EndedBecause.empty()) {
+    answerError(Session, refusal::Aborted, Session.Transaction.EndedBecause,
+                Now);
+    return;
+  }
+  advanceOperation(Session, Now);
+}
+
+void session_engine::begin(session &Session, base::time_point Now) {
+  Session.Phase = session_phase::InTransaction;
+  Session.Transaction = {};
+  Session.Transaction.IsReadOnly =
+      Session.Current->Statement.Kind == statement_kind::BeginReadOnly;
+  Session.Transaction.StartedAt = Session.Current->ReceivedAt;
+  Session.Transaction.LastUsedAt = Now;
+  answer(Session, {}, Now);
+}
+
+void session_engine::answerError(session &Session, refusal Reason,
+                                 const std::string &Text,
+                                 base::time_point Now) {
+  client_answer Answer;
+  Answer.Error = Reason;
+  Answer.ErrorText = Text;
+  bool EndsTransaction = Session.Current && Session.Current->Statement.Kind ==
+                                                statement_kind::Commit;
+  if (Session.Phase == session_phase::InTransaction) {
+    endTransaction(Session, Now);
+    if (!EndsTransaction)
+      Session.Phase = session_phase::FailedTransaction;
+  }
+  answer(Session, std::move(Answer), Now);
+}
+
+void session_engine::answer(session &Session, client_answer Answer,
+                            base::time_point Now) {
+  Answer.Phase = Session.Phase;
+  if (Answer.Error)
+    ++Counters.StatementsRefused;
+  else
+    ++Counters.StatementsServed;
+  logOutcome(Session, Answer, Now);
+  if (!Session.Transaction.Connection)
+    detach(Session);
+  else if (Session.Current)
+    setWake(Session, base::time_point::max());
+  Session.Current.reset();
+  Clients.answer(Session.Number, Answer);
+  if (!Session.Following.empty())
+    Answered.push_back(Session.Number);
+}
+
+void session_engine::logOutcome(const session &Session,
+                                const client_answer &Answer,
+                                base::time_point Now) {
+  if (!Session.Current || !Log.wantsDecision(Answer.Error.has_value()))
+    return;
+  const operation &Operation = *Session.Current;
+  base::json Fields = base::json::object();
+  Fields["id"] = Operation.Id;
+  Fields["outcome"] =
+      Answer.Error ? std::string(refusalName(*Answer.Error)) : "served";
+  if (!Answer.ErrorText.empty())
+    Fields["reason"] = Answer.ErrorText;
+  Fields["route"] = Session.Route.Name;
+  Fields["account"] = Session.Account.str();
+  Fields["group"] = Session.Route.Group.str();
+  Fields["configuration"] = Catalog ? Catalog->Version : 0;
+  Fields["attempts"] = Operation.Attempts;
+  Fields["elapsed_us"] = (Now - Operation.ReceivedAt).count();
+  if (const connection *Connection = connectionOf(Session))
+    Fields["instance"] = Connection->Instance.str();
+  if (supervisor *Group = groupOf(Session.Route.Group)) {
+    const group_leadership &Leadership = Group->leadership();
+    Fields["primary"] = Leadership.primary() ? Leadership.primary()->str() : "";
+    Fields["term"] = Leadership.term();
+    Fields["proof_age_us"] = (Now - Leadership.provedAt()).count();
+  }
+  Log.decision("statement", Fields);
+}
+
+} // namespace radishrelay::sessions
--- /dev/null
+++ b/packages/sessions/src/store_calls.cpp
@@ -0,0 +1,35 @@
+#include "radishrelay/sessions/detail/store_calls.h"
+
+namespace radishrelay::sessions::detail {
+
+void store_calls::execute(const base::store_request &Request,
+                          answer_handler Handler) {
+  store_call_number Call{++LastCall};
+  Handlers.emplace(Call, std::move(Handler));
+  Port.execute(Call, Request);
+}
+
+void store_calls::promote(const base::group_id &Group,
+                          const base::instance_id &Instance,
+                          std::uint64_t Generation, order_handler Handler) {
+  store_call_number Call{++LastCall};
+  OrderHandlers.emplace(Call, std::move(Handler));
+  Port.promote(Call, Group, Instance, Generation);
+}
+
+void store_calls::answered(store_call_number Call,
+                           const base::store_answer &Answer,
+                           base::time_point Now) {
+  auto Entry = Handlers.extract(Call);
+  if (!Entry.empty())
+    Entry.mapped()(Answer, Now);
+}
+
+void store_calls::orderAnswered(store_call_number Call, bool Accepted,
+                                base::time_point Now) {
+  auto Entry = OrderHandlers.extract(Call);
+  if (!Entry.empty())
+    Entry.mapped()(Accepted, Now);
+}
+
+} // namespace radishrelay::sessions::detail
--- a/packages/platform/src/http_connection.h
+++ b/packages/tables/include/radishrelay/tables/http_connection.h
@@ -1,15 +1,19 @@
-#ifndef RADISHRELAY_PLATFORM_SRC_HTTP_CONNECTION_H
-#define RADISHRELAY_PLATFORM_SRC_HTTP_CONNECTION_H
+#ifndef RADISHRELAY_TABLES_HTTP_CONNECTION_H
+#define RADISHRELAY_TABLES_HTTP_CONNECTION_H
 
 #include "radishrelay/base/expected.h"
 #include "radishrelay/base/monotonic_clock.h"
 
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
-namespace radishrelay::platform::detail {
+namespace radishrelay::tables {
 
+namespace detail {
 class http_session;
+} // namespace detail
 
 /// A request of HTTP with its step for error messages.
 struct http_request {
@@ -17,6 +21,8 @@
   std::string Path;
   std::string Body;
   std::string Step;
+  /// Further header fields.
+  std::vector<std::pair<std::string, std::string>> Headers{};
 };
 
 /// An answer of HTTP.
@@ -52,9 +58,9 @@
                     const std::string &Detail);
 
   std::string Address;
-  std::unique_ptr<http_session> Session;
+  std::unique_ptr<detail::http_session> Session;
 };
 
-} // namespace radishrelay::platform::detail
+} // namespace radishrelay::tables
 
 #endif
--- a/packages/platform/include/radishrelay/platform/stand_in_counters.h
+++ b/packages/tables/include/radishrelay/tables/stand_in_counters.h
@@ -1,9 +1,9 @@
-#ifndef RADISHRELAY_PLATFORM_STAND_IN_COUNTERS_H
-#define RADISHRELAY_PLATFORM_STAND_IN_COUNTERS_H
+#ifndef RADISHRELAY_TABLES_STAND_IN_COUNTERS_H
+#define RADISHRELAY_TABLES_STAND_IN_COUNTERS_H
 
 #include <cstdint>
 
-namespace radishrelay::platform {
+namespace radishrelay::tables {
 
 /// What a stand-in platform executed since its start.
 struct stand_in_counters {
@@ -18,6 +18,6 @@
                          const stand_in_counters &) = default;
 };
 
-} // namespace radishrelay::platform
+} // namespace radishrelay::tables
 
 #endif
--- a/packages/platform/include/radishrelay/platform/stand_in_fault.h
+++ b/packages/tables/include/radishrelay/tables/stand_in_fault.h
@@ -1,9 +1,9 @@
-#ifndef RADISHRELAY_PLATFORM_STAND_IN_FAULT_H
-#define RADISHRELAY_PLATFORM_STAND_IN_FAULT_H
+#ifndef RADISHRELAY_TABLES_STAND_IN_FAULT_H
+#define RADISHRELAY_TABLES_STAND_IN_FAULT_H
 
 #include <chrono>
 
-namespace radishrelay::platform {
+namespace radishrelay::tables {
 
 /// A fault that a stand-in platform injects into each request.
 enum class stand_in_fault_mode {
@@ -28,6 +28,6 @@
                          const stand_in_fault &) = default;
 };
 
-} // namespace radishrelay::platform
+} // namespace radishrelay::tables
 
 #endif
--- a/packages/platform/include/radishrelay/platform/stand_in_platform.h
+++ b/packages/tables/include/radishrelay/tables/stand_in_platform.h
@@ -1,16 +1,16 @@
-#ifndef RADISHRELAY_PLATFORM_STAND_IN_PLATFORM_H
-#define RADISHRELAY_PLATFORM_STAND_IN_PLATFORM_H
+#ifndef RADISHRELAY_TABLES_STAND_IN_PLATFORM_H
+#define RADISHRELAY_TABLES_STAND_IN_PLATFORM_H
 
 #include "radishrelay/base/listed_host.h"
-#include "radishrelay/platform/stand_in_counters.h"
-#include "radishrelay/platform/stand_in_fault.h"
+#include "radishrelay/tables/stand_in_counters.h"
+#include "radishrelay/tables/stand_in_fault.h"
 
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
-namespace radishrelay::platform {
+namespace radishrelay::tables {
 
 namespace detail {
 class stand_in_state;
@@ -44,6 +44,6 @@
   std::unique_ptr<detail::stand_in_server> Server;
 };
 
-} // namespace radishrelay::platform
+} // namespace radishrelay::tables
 
 #endif
--- a/packages/platform/include/radishrelay/platform/platform_client.h
+++ b/packages/tables/include/radishrelay/tables/table_client.h
@@ -1,5 +1,5 @@
-#ifndef RADISHRELAY_PLATFORM_PLATFORM_CLIENT_H
-#define RADISHRELAY_PLATFORM_PLATFORM_CLIENT_H
+#ifndef RADISHRELAY_TABLES_TABLE_CLIENT_H
+#define RADISHRELAY_TABLES_TABLE_CLIENT_H
 
 #include "radishrelay/base/expected.h"
 #include "radishrelay/base/listed_host.h"
@@ -10,22 +10,20 @@
 #include <string>
 #include <vector>
 
-namespace radishrelay::platform {
+namespace radishrelay::tables {
 
-namespace detail {
 class http_connection;
-} // namespace detail
 
 /// Blocking HTTP client of the platform's table service, object store and host
 /// list. Keeps one connection open. Used by one thread at a time.
-class platform_client {
+class table_client {
 public:
   /// \p Address is "IP:port". It is resolved at the first request, so that a
   /// malformed address appears as a failure.
-  explicit platform_client(std::string Address);
-  ~platform_client();
-  platform_client(platform_client &&) noexcept;
-  platform_client &operator=(platform_client &&) noexcept;
+  explicit table_client(std::string Address);
+  ~table_client();
+  table_client(table_client &&) noexcept;
+  table_client &operator=(table_client &&) noexcept;
 
   /// Executes \p Request. NotDone when no byte of it was sent or the platform
   /// rejected it, Unknown when the answer was lost or \p Deadline passed.
@@ -46,9 +44,9 @@
                           base::time_point Deadline);
 
 private:
-  std::unique_ptr<detail::http_connection> Connection;
+  std::unique_ptr<http_connection> Connection;
 };
 
-} // namespace radishrelay::platform
+} // namespace radishrelay::tables
 
 #endif
--- a/packages/platform/src/http_connection.cpp
+++ b/packages/tables/src/http_connection.cpp
@@ -1,4 +1,4 @@
-#include "http_connection.h"
+#include "radishrelay/tables/http_connection.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -9,7 +9,9 @@
 
 #include <algorithm>
 
-namespace radishrelay::platform::detail {
+namespace radishrelay::tables {
+
+namespace detail {
 
 /// Connects on demand, so that a failed connection is told apart from a failed
 /// transfer.
@@ -25,6 +27,8 @@
   }
 };
 
+} // namespace detail
+
 namespace {
 
 /// Longest time that an idle connection is kept open.
@@ -61,7 +65,8 @@
   if (Session && Session->closedByPeer())
     Session.reset();
   if (!Session) {
-    Session = std::make_unique<http_session>(Poco::Net::SocketAddress(Address));
+    Session = std::make_unique<detail::http_session>(
+        Poco::Net::SocketAddress(Address));
     Session->setKeepAlive(true);
     Session->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
   }
@@ -77,6 +82,8 @@
                               Poco::Net::HTTPMessage::HTTP_1_1);
   Head.setKeepAlive(true);
   Head.setContentType("application/json");
+  for (const auto &[Name, Value] : Request.Headers)
+    Head.set(Name, Value);
   Head.setContentLength(static_cast<std::streamsize>(Request.Body.size()));
   Session->sendRequest(Head) << Request.Body << std::flush;
 
@@ -115,4 +122,4 @@
   }
 }
 
-} // namespace radishrelay::platform::detail
+} // namespace radishrelay::tables
--- a/packages/platform/src/stand_in_handler.cpp
+++ b/packages/tables/src/stand_in_handler.cpp
@@ -1,6 +1,6 @@
 #include "stand_in_handler.h"
 
-#include "platform_codec.h"
+#include "table_codec.h"
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
@@ -12,7 +12,7 @@
 
 #include <utility>
 
-namespace radishrelay::platform::detail {
+namespace radishrelay::tables::detail {
 
 namespace {
 
@@ -158,4 +158,4 @@
   Response.sendBuffer(Reply.Body.data(), Reply.Body.size());
 }
 
-} // namespace radishrelay::platform::detail
+} // namespace radishrelay::tables::detail
--- a/packages/platform/src/stand_in_handler.h
+++ b/packages/tables/src/stand_in_handler.h
@@ -1,12 +1,12 @@
-#ifndef RADISHRELAY_PLATFORM_SRC_STAND_IN_HANDLER_H
-#define RADISHRELAY_PLATFORM_SRC_STAND_IN_HANDLER_H
+#ifndef RADISHRELAY_TABLES_SRC_STAND_IN_HANDLER_H
+#define RADISHRELAY_TABLES_SRC_STAND_IN_HANDLER_H
 
 #include "stand_in_state.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPResponse.h>
 
-namespace radishrelay::platform::detail {
+namespace radishrelay::tables::detail {
 
 /// Answers one request to the stand-in platform.
 class stand_in_handler : public Poco::Net::HTTPRequestHandler {
@@ -36,6 +36,6 @@
   stand_in_state &State;
 };
 
-} // namespace radishrelay::platform::detail
+} // namespace radishrelay::tables::detail
 
 #endif
--- a/packages/platform/src/stand_in_platform.cpp
+++ b/packages/tables/src/stand_in_platform.cpp
@@ -1,4 +1,4 @@
-#include "radishrelay/platform/stand_in_platform.h"
+#include "radishrelay/tables/stand_in_platform.h"
 
 #include "stand_in_handler.h"
 #include "stand_in_state.h"
@@ -8,7 +8,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 
-namespace radishrelay::platform {
+namespace radishrelay::tables {
 
 namespace detail {
 
@@ -101,4 +101,4 @@
   State->setHosts(std::move(Hosts));
 }
 
-} // namespace radishrelay::platform
+} // namespace radishrelay::tables
--- a/packages/platform/src/stand_in_state.cpp
+++ b/packages/tables/src/stand_in_state.cpp
@@ -1,6 +1,6 @@
 #include "stand_in_state.h"
 
-namespace radishrelay::platform::detail {
+namespace radishrelay::tables::detail {
 
 base::table_row stand_in_state::rowLocked(const base::row_key &Key) const {
   auto Found = Rows.find(Key);
@@ -110,4 +110,4 @@
   return Fault.Mode == stand_in_fault_mode::LoseAnswers;
 }
 
-} // namespace radishrelay::platform::detail
+} // namespace radishrelay::tables::detail
--- a/packages/platform/src/stand_in_state.h
+++ b/packages/tables/src/stand_in_state.h
@@ -1,10 +1,10 @@
-#ifndef RADISHRELAY_PLATFORM_SRC_STAND_IN_STATE_H
-#define RADISHRELAY_PLATFORM_SRC_STAND_IN_STATE_H
+#ifndef RADISHRELAY_TABLES_SRC_STAND_IN_STATE_H
+#define RADISHRELAY_TABLES_SRC_STAND_IN_STATE_H
 
 #include "radishrelay/base/listed_host.h"
 #include "radishrelay/base/store_answer.h"
-#include "radishrelay/platform/stand_in_counters.h"
-#include "radishrelay/platform/stand_in_fault.h"
+#include "radishrelay/tables/stand_in_counters.h"
+#include "radishrelay/tables/stand_in_fault.h"
 
 #include <condition_variable>
 #include <map>
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace radishrelay::platform::detail {
+namespace radishrelay::tables::detail {
 
 /// Tables, objects, host list and fault of a stand-in platform. Safe to use
 /// from several threads.
@@ -54,6 +54,6 @@
   bool Stopped = false;
 };
 
-} // namespace radishrelay::platform::detail
+} // namespace radishrelay::tables::detail
 
 #endif
--- a/packages/platform/src/platform_client.cpp
+++ b/packages/tables/src/table_client.cpp
@@ -1,16 +1,13 @@
-#include "radishrelay/platform/platform_client.h"
+#include "radishrelay/tables/table_client.h"
 
-#include "http_connection.h"
-#include "platform_codec.h"
+#include "radishrelay/tables/http_connection.h"
+#include "table_codec.h"
 
-namespace radishrelay::platform {
+namespace radishrelay::tables {
 
 namespace {
 
 using base::json;
-using detail::http_connection;
-using detail::http_reply;
-using detail::http_request;
 
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
@@ -98,16 +95,15 @@
 
 } // namespace
 
-platform_client::platform_client(std::string Address)
+table_client::table_client(std::string Address)
     : Connection(std::make_unique<http_connection>(std::move(Address))) {}
 
-platform_client::~platform_client() = default;
-platform_client::platform_client(platform_client &&) noexcept = default;
-platform_client &
-platform_client::operator=(platform_client &&) noexcept = default;
+table_client::~table_client() = default;
+table_client::table_client(table_client &&) noexcept = default;
+table_client &table_client::operator=(table_client &&) noexcept = default;
 
-base::store_answer platform_client::execute(const base::store_request &Request,
-                                            base::time_point Deadline) {
+base::store_answer table_client::execute(const base::store_request &Request,
+                                         base::time_point Deadline) {
   base::store_answer Answer;
   Answer.SentAt = base::monotonic_clock::now();
   http_request Head = std::visit(request_builder(), Request);
@@ -135,7 +131,7 @@
 }
 
 base::expected<std::vector<base::listed_host>>
-platform_client::readHosts(base::time_point Deadline) {
+table_client::readHosts(base::time_point Deadline) {
   http_request Head{"GET", "/hosts", "", "read host list"};
   auto Reply = Connection->exchange(Head, Deadline);
   if (!Reply)
@@ -150,7 +146,7 @@
 }
 
 base::expected<std::optional<std::string>>
-platform_client::getObject(const std::string &Name, base::time_point Deadline) {
+table_client::getObject(const std::string &Name, base::time_point Deadline) {
   http_request Head{"GET", "/objects/" + detail::encodeSegment(Name), "",
                     "get object"};
   auto Reply = Connection->exchange(Head, Deadline);
@@ -163,9 +159,9 @@
   return std::optional<std::string>(std::move(Reply->Body));
 }
 
-base::failure platform_client::putObject(const std::string &Name,
-                                         const std::string &Content,
-                                         base::time_point Deadline) {
+base::failure table_client::putObject(const std::string &Name,
+                                      const std::string &Content,
+                                      base::time_point Deadline) {
   http_request Head{"PUT", "/objects/" + detail::encodeSegment(Name), Content,
                     "put object"};
   auto Reply = Connection->exchange(Head, Deadline);
@@ -176,4 +172,4 @@
   return {};
 }
 
-} // namespace radishrelay::platform
+} // namespace radishrelay::tables
--- a/packages/platform/src/platform_codec.cpp
+++ b/packages/tables/src/table_codec.cpp
@@ -1,8 +1,8 @@
-#include "platform_codec.h"
+#include "table_codec.h"
 
 #include <Poco/URI.h>
 
-namespace radishrelay::platform::detail {
+namespace radishrelay::tables::detail {
 
 using base::json;
 
@@ -91,4 +91,4 @@
   return Encoded;
 }
 
-} // namespace radishrelay::platform::detail
+} // namespace radishrelay::tables::detail
--- a/packages/platform/src/platform_codec.h
+++ b/packages/tables/src/table_codec.h
@@ -1,5 +1,5 @@
-#ifndef RADISHRELAY_PLATFORM_SRC_PLATFORM_CODEC_H
-#define RADISHRELAY_PLATFORM_SRC_PLATFORM_CODEC_H
+#ifndef RADISHRELAY_TABLES_SRC_TABLE_CODEC_H
+#define RADISHRELAY_TABLES_SRC_TABLE_CODEC_H
 
 #include "radishrelay/base/listed_host.h"
 #include "radishrelay/base/store_request.h"
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace radishrelay::platform::detail {
+namespace radishrelay::tables::detail {
 
 /// JSON forms of the platform's HTTP API. Each parser throws
 /// base::json::exception on malformed input.
@@ -26,6 +26,6 @@
 /// Percent-encodes one segment of a path.
 std::string encodeSegment(const std::string &Text);
 
-} // namespace radishrelay::platform::detail
+} // namespace radishrelay::tables::detail
 
 #endif
--- a/packages/platform/tests/platform_http_test.cpp
+++ b/packages/tables/tests/platform_http_test.cpp
@@ -1,5 +1,5 @@
-#include "radishrelay/platform/platform_client.h"
-#include "radishrelay/platform/stand_in_platform.h"
+#include "radishrelay/tables/stand_in_platform.h"
+#include "radishrelay/tables/table_client.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -13,7 +13,7 @@
 namespace {
 
 using namespace radishrelay;
-using namespace radishrelay::platform;
+using namespace radishrelay::tables;
 using base::store_outcome;
 
 // Long enough for a loaded machine; no case waits for it.
@@ -23,7 +23,7 @@
 
 struct fixture {
   stand_in_platform Platform;
-  platform_client Client{Platform.address()};
+  table_client Client{Platform.address()};
   base::row_key Key{"configuration", "current"};
 
   base::store_answer write(base::row_version Expected,
@@ -147,7 +147,7 @@
     Poco::Net::ServerSocket Socket(Poco::Net::SocketAddress("127.0.0.1", 0));
     Closed = Socket.address().toString();
   }
-  platform_client Alone(Closed);
+  table_client Alone(Closed);
   auto Answer = Alone.execute(base::read_row{Key}, soon());
   BOOST_TEST((Answer.Outcome == store_outcome::NotDone));
   BOOST_TEST((Answer.Failure.Code == std::errc::connection_refused));
@@ -163,7 +163,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_malformed_address_is_a_failure_with_its_step) {
-  auto Hosts = platform_client("nowhere:x").readHosts(soon());
+  auto Hosts = table_client("nowhere:x").readHosts(soon());
   BOOST_REQUIRE(!Hosts.hasValue());
   BOOST_TEST(Hosts.error().Step == "read host list");
   BOOST_TEST(Hosts.error().Peer == "nowhere:x");
@@ -204,7 +204,7 @@
 BOOST_AUTO_TEST_CASE(a_restarted_platform_is_reached_again) {
   auto First = std::make_unique<stand_in_platform>();
   std::string Address = First->address();
-  platform_client Other(Address);
+  table_client Other(Address);
   BOOST_REQUIRE(Other.readHosts(soon()).hasValue());
   First.reset();
   auto Port = Poco::Net::SocketAddress(Address).port();
