Bound connections above a host's part; read datagrams until none waits

Cause: 13 hosts opened up to twice their part each, and instances reset 503 connections over their cap; FIONREAD reported no waiting datagram, so no loan of tokens arrived.

--- a/packages/daemon/src/session_daemon.cpp
+++ b/packages/daemon/src/session_daemon.cpp
@@ -85,7 +85,8 @@
   void readable() override {
     std::array<char, MaxDatagram> Buffer{};
     try {
-      while (Socket.available() > 0) {
+      while (true) {
+        // Negative once no datagram waits.
         int Count = Socket.receiveBytes(Buffer.data(), MaxDatagram);
         if (Count <= 0)
           return;
--- a/packages/sessions/src/backend_pool.cpp
+++ b/packages/sessions/src/backend_pool.cpp
@@ -14,7 +14,7 @@
 /// host's part.
 constexpr base::duration LimitPause = std::chrono::seconds(2);
 /// An idle connection above this host's part is closed after this time.
-constexpr base::duration IdleAbovePart = std::chrono::seconds(2);
+constexpr base::duration IdleAbovePart = std::chrono::milliseconds(500);
 /// Time for the rollback of an abandoned transaction; longer than any work.
 constexpr base::duration CleanTimeout = std::chrono::milliseconds(2000);
 
@@ -151,11 +151,12 @@
     Idle->Session = Session;
     return Idle;
   }
-  if (State.Connections.size() >= hardLimit(State)) {
-    backend_connection *Other = oldestIdle(State);
-    if (!Other)
+  // Above this host's part only busy connections are worth keeping.
+  if (State.Connections.size() >= softLimit(State.Listing.Group)) {
+    if (backend_connection *Other = oldestIdle(State))
+      discard(Other->Number);
+    else if (State.Connections.size() >= hardLimit(State))
       return nullptr;
-    discard(Other->Number);
   }
   backend_connection &Opened = open(State, Account, Now);
   Opened.Session = Session;
--- a/packages/sessions/src/session_replies.cpp
+++ b/packages/sessions/src/session_replies.cpp
@@ -53,9 +53,13 @@
   base::instance_id Instance = Connection->Instance;
   std::optional<session_number> Owner = Connection->Session;
   bool WasIdle = Connection->Use == detail::connection_use::Idle;
+  // An instance at its limit of connections may reset a new one.
+  bool WasOpening = Connection->Use == detail::connection_use::Opening;
   supervisor *Group = groupOf(Connection->Group);
   Pool.discard(Number);
   ShouldServeWaiting = true;
+  if (WasOpening && !Reason)
+    Pool.noteLimitReached(Instance, Now);
   if (Reason)
     noteRefusal(Instance, *Reason, Now);
   else if (Group && !WasIdle)
