Claim anew in each attempt to promote

Cause: after an attempt that was given up, the next one took the old claim for its own, whose time had passed, and gave up at once; a group whose replica was away for some seconds was never promoted again. Found by the test is_not_promoted_while_a_needed_replica_is_dark_too, which failed before.

--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -54,6 +54,8 @@
   Request = std::move(NewRequest);
   Fenced.clear();
   Candidate = {};
+  // A claim of an earlier attempt has lapsed; this one needs its own.
+  Operation.clear();
   readClaim(Now, Actions);
 }
 
--- /dev/null
+++ b/packages/sessions/tests/engine_drain_test.cpp
@@ -0,0 +1,59 @@
+#include "support/fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishrelay::sessions::tests {
+
+BOOST_AUTO_TEST_SUITE(a_graceful_shutdown)
+
+BOOST_AUTO_TEST_CASE(is_not_ready_at_once_and_goes_on_serving) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  BOOST_TEST(Fleet.engine().isReady());
+  Fleet.engine().drain(Fleet.now());
+  BOOST_TEST(!Fleet.engine().isReady());
+  BOOST_TEST(!Fleet.ask(Session, "write x 1").Error.has_value());
+  BOOST_TEST(!Fleet.wasClosed(Session));
+}
+
+BOOST_AUTO_TEST_CASE(closes_idle_sessions_once_the_balancer_has_noticed) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.engine().drain(Fleet.now());
+  Fleet.run(2100ms);
+  BOOST_TEST(!Fleet.wasClosed(Session));
+  Fleet.run(200ms);
+  BOOST_TEST(Fleet.wasClosed(Session));
+  BOOST_TEST(Fleet.engine().isDrained());
+}
+
+BOOST_AUTO_TEST_CASE(lets_an_open_transaction_end_in_half_of_the_grace) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "begin");
+  Fleet.ask(Session, "write x 1");
+  Fleet.engine().drain(Fleet.now());
+  Fleet.run(2900ms);
+  BOOST_TEST(!Fleet.wasClosed(Session));
+  BOOST_TEST(!Fleet.ask(Session, "commit").Error.has_value());
+  Fleet.run(10ms);
+  BOOST_TEST(Fleet.wasClosed(Session));
+}
+
+BOOST_AUTO_TEST_CASE(answers_a_running_statement_before_it_closes) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.engine().drain(Fleet.now());
+  Fleet.run(2150ms);
+  Fleet.send(Session, "write x 1");
+  Fleet.run(300ms);
+  BOOST_TEST(!Fleet.wasClosed(Session));
+  Fleet.runHeld();
+  BOOST_TEST(Fleet.answers(Session).size() == 1U);
+  Fleet.run(5ms);
+  BOOST_TEST(Fleet.engine().isDrained());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace radishrelay::sessions::tests
--- /dev/null
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -0,0 +1,96 @@
+#include "support/fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishrelay::sessions::tests {
+
+namespace {
+
+/// Writes every 20 ms and returns the longest time without a success.
+base::duration longestGap(fake_fleet &Fleet, session_number Session,
+                          base::duration Time) {
+  base::duration Longest{};
+  base::time_point Last = Fleet.now();
+  for (base::time_point End = Fleet.now() + Time; Fleet.now() < End;) {
+    if (!Fleet.ask(Session, "write x 1").Error)
+      Last = Fleet.now();
+    Longest = std::max(Longest, Fleet.now() - Last);
+    Fleet.run(20ms);
+  }
+  return Longest;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_group)
+
+BOOST_AUTO_TEST_SUITE(whose_primary_goes_dark)
+
+BOOST_AUTO_TEST_CASE(gets_the_most_advanced_replica_as_its_primary) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  Fleet.instance("r1").Log = {1, 100};
+  Fleet.instance("r2").Log = {1, 101};
+  Fleet.instance("p").IsDark = true;
+  base::duration Gap = longestGap(Fleet, Session, 6000ms);
+  BOOST_REQUIRE(Fleet.Orders.size() == 1U);
+  BOOST_TEST(Fleet.Orders[0].first == base::instance_id("r2"));
+  BOOST_TEST((Gap < 4000ms));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_promoted_before_all_leases_have_run_out) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  Fleet.instance("p").IsDark = true;
+  Fleet.send(Session, "write x 2");
+  std::optional<base::time_point> FencedAt;
+  while (Fleet.Orders.empty()) {
+    Fleet.run(1ms);
+    BOOST_REQUIRE((Fleet.now() < base::fromMicroseconds(20'000'000)));
+    bool AreFenced =
+        Fleet.instance("r1").Fenced > 0 && Fleet.instance("r2").Fenced > 0;
+    if (AreFenced && !FencedAt)
+      FencedAt = Fleet.now();
+  }
+  BOOST_REQUIRE(FencedAt.has_value());
+  BOOST_TEST(((Fleet.now() - *FencedAt) >= 1000ms));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_promoted_while_a_needed_replica_is_dark_too) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  Fleet.instance("p").IsDark = true;
+  Fleet.instance("r1").IsDark = true;
+  longestGap(Fleet, Session, 6000ms);
+  BOOST_TEST(Fleet.Orders.empty());
+  Fleet.instance("r1").IsDark = false;
+  longestGap(Fleet, Session, 5000ms);
+  BOOST_TEST(Fleet.Orders.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(whose_primary_is_leaving)
+
+BOOST_AUTO_TEST_CASE(gets_another_primary_without_a_vote) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  Fleet.instance("r1").Log = Fleet.instance("p").Log;
+  Fleet.listings().at(base::instance_id("p")).Draining = true;
+  Fleet.list();
+  base::duration Gap = longestGap(Fleet, Session, 4000ms);
+  BOOST_REQUIRE(Fleet.Orders.size() == 1U);
+  BOOST_TEST(Fleet.Orders[0].first == base::instance_id("r1"));
+  BOOST_TEST((Gap < 2500ms));
+  BOOST_TEST(Fleet.ask(Session, "read x").Receipt == "receipt:r1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace radishrelay::sessions::tests
--- /dev/null
+++ b/packages/sessions/tests/engine_statements_test.cpp
@@ -0,0 +1,242 @@
+#include "support/fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishrelay::sessions::tests {
+
+BOOST_AUTO_TEST_SUITE(a_session)
+
+BOOST_AUTO_TEST_SUITE(is_opened)
+
+BOOST_AUTO_TEST_CASE(only_for_a_database_and_a_key_that_the_configuration_has) {
+  fake_fleet Fleet;
+  BOOST_TEST(!Fleet.rejection(Fleet.connect("primary")).has_value());
+  BOOST_TEST((Fleet.rejection(Fleet.connect("primary", "wrong")) ==
+              refusal::UnknownKey));
+  BOOST_TEST(
+      (Fleet.rejection(Fleet.connect("absent")) == refusal::UnknownDatabase));
+  BOOST_TEST(!Fleet.rejection(Fleet.connect("open", "")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(and_closed_when_its_client_speaks_before_it_is_open) {
+  fake_fleet Fleet;
+  session_number Session{900};
+  Fleet.send(Session, "read x");
+  BOOST_TEST(Fleet.wasClosed(Session));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(runs_statements)
+
+BOOST_AUTO_TEST_CASE(and_returns_rows_and_receipt_of_the_instance) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  client_answer Answer = Fleet.ask(Session, "write x 1");
+  BOOST_TEST(!Answer.Error.has_value());
+  BOOST_TEST(Answer.Receipt == "receipt:p");
+  BOOST_TEST(Answer.Rows.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(one_after_the_other_though_the_client_sends_ahead) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.send(Session, "write x 1");
+  Fleet.send(Session, "write x 2");
+  BOOST_TEST(Fleet.held().size() == 1U);
+  Fleet.runHeld();
+  BOOST_TEST(Fleet.held().size() == 1U);
+  Fleet.runHeld();
+  BOOST_TEST(Fleet.answers(Session).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(on_connections_of_its_own_account) {
+  fake_fleet Fleet;
+  Fleet.ask(Fleet.connect("primary", "key-1"), "write x 1");
+  Fleet.send(Fleet.connect("primary", "key-2"), "write x 2");
+  BOOST_REQUIRE(Fleet.held().size() == 1U);
+  BOOST_TEST(Fleet.Accounts.at(Fleet.held()[0].Connection) ==
+             base::account_id("t2"));
+}
+
+BOOST_AUTO_TEST_CASE(and_rejects_what_it_cannot_read) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  BOOST_TEST((Fleet.ask(Session, "nonsense").Error == refusal::Malformed));
+  BOOST_TEST((Fleet.ask(Session, "commit").Error == refusal::Malformed));
+  BOOST_TEST(
+      (Fleet.ask(Session, "execute s1 x").Error == refusal::UnknownName));
+  BOOST_TEST(
+      (Fleet.ask(Session, "deallocate s1").Error == refusal::UnknownName));
+}
+
+BOOST_AUTO_TEST_CASE(only_while_its_key_and_route_are_in_force) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  BOOST_TEST(!Fleet.ask(Session, "read x").Error.has_value());
+  Fleet.configuration().Keys.erase("key-1");
+  Fleet.setCatalog(2);
+  BOOST_TEST((Fleet.ask(Session, "read x").Error == refusal::UnknownKey));
+  Fleet.configuration().Routes.erase("primary");
+  Fleet.setCatalog(3);
+  BOOST_TEST((Fleet.ask(Session, "read x").Error == refusal::UnknownDatabase));
+}
+
+BOOST_AUTO_TEST_CASE(by_the_newest_configuration_that_it_has_seen) {
+  fake_fleet Fleet;
+  Fleet.setCatalog(5);
+  Fleet.configuration().Keys.erase("key-1");
+  Fleet.setCatalog(4); // an older version that arrives late
+  session_number Session = Fleet.connect("primary");
+  BOOST_TEST(!Fleet.ask(Session, "read x").Error.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(keeps_values_and_prepared_statements)
+
+BOOST_AUTO_TEST_CASE(which_are_set_on_each_connection_before_use) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  BOOST_TEST(!Fleet.ask(Session, "set zone north").Error.has_value());
+  Fleet.Requests.clear();
+  Fleet.ask(Session, "read x");
+  BOOST_REQUIRE(Fleet.Requests.size() >= 2U);
+  BOOST_TEST((Fleet.Requests[0].second.Verb == backend_verb::SetValue));
+  BOOST_TEST(Fleet.Requests[0].second.Name == "zone");
+  BOOST_TEST(Fleet.Requests[0].second.Text == "north");
+}
+
+BOOST_AUTO_TEST_CASE(which_another_session_on_the_connection_never_sees) {
+  fake_fleet Fleet;
+  session_number First = Fleet.connect("primary");
+  Fleet.ask(First, "set zone north");
+  Fleet.ask(First, "read x");
+  Fleet.Requests.clear();
+  Fleet.ask(Fleet.connect("primary"), "read y");
+  BOOST_REQUIRE(!Fleet.Requests.empty());
+  // Either another connection, or one whose values were dropped first.
+  for (const auto &[Instance, Request] : Fleet.Requests) {
+    if (Request.Verb == backend_verb::Reset)
+      break;
+    BOOST_TEST(
+        (Request.Verb != backend_verb::Forward || Fleet.Open.size() > 1));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(by_shape_so_that_equal_names_of_clients_do_not_collide) {
+  fake_fleet Fleet;
+  session_number First = Fleet.connect("primary");
+  session_number Second = Fleet.connect("primary");
+  Fleet.ask(First, "prepare-read s1 shapeA");
+  Fleet.ask(Second, "prepare-read s1 shapeB");
+  Fleet.ask(First, "execute s1 x");
+  Fleet.Requests.clear();
+  Fleet.ask(Second, "execute s1 x");
+  BOOST_REQUIRE(Fleet.Requests.size() >= 2U);
+  const backend_request &Prepare = Fleet.Requests[0].second;
+  const backend_request &Execute = Fleet.Requests[1].second;
+  BOOST_TEST((Prepare.Verb == backend_verb::Prepare));
+  BOOST_TEST(Prepare.Text == "shapeB");
+  BOOST_TEST(Execute.Name == Prepare.Name);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(runs_a_transaction)
+
+BOOST_AUTO_TEST_CASE(on_one_connection_that_no_other_session_uses) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  BOOST_TEST(
+      (Fleet.ask(Session, "begin").Phase == session_phase::InTransaction));
+  Fleet.ask(Session, "write x 1");
+  Fleet.send(Session, "write y 1");
+  BOOST_REQUIRE(Fleet.held().size() == 1U);
+  backend_number Connection = Fleet.held()[0].Connection;
+  session_number Other = Fleet.connect("primary");
+  Fleet.send(Other, "read x");
+  BOOST_REQUIRE(Fleet.held().size() == 2U);
+  BOOST_TEST((Fleet.held()[1].Connection != Connection));
+  Fleet.runHeld();
+  Fleet.send(Session, "commit");
+  BOOST_REQUIRE(Fleet.held().size() == 1U);
+  BOOST_TEST((Fleet.held()[0].Connection == Connection));
+}
+
+BOOST_AUTO_TEST_CASE(whose_first_statement_may_move_to_another_connection) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "begin");
+  Fleet.send(Session, "write x 1");
+  backend_reply Busy;
+  Busy.Error = refusal::Busy;
+  Busy.Phase = session_phase::FailedTransaction;
+  BOOST_REQUIRE(Fleet.held().size() == 1U);
+  Fleet.reply(Fleet.held()[0], Busy);
+  Fleet.run(50ms);
+  BOOST_REQUIRE(Fleet.held().size() == 1U);
+  Fleet.runHeld();
+  std::vector<client_answer> Answers = Fleet.answers(Session);
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST(!Answers[0].Error.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(that_fails_as_a_whole_when_a_later_statement_fails) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "begin");
+  Fleet.ask(Session, "write x 1");
+  Fleet.send(Session, "write y 1");
+  backend_reply Failed;
+  Failed.Error = refusal::Failed;
+  Failed.Phase = session_phase::FailedTransaction;
+  Fleet.reply(Fleet.held().at(0), Failed);
+  client_answer Answer = Fleet.answers(Session).at(0);
+  BOOST_TEST((Answer.Error == refusal::Aborted));
+  BOOST_TEST((Answer.Phase == session_phase::FailedTransaction));
+  BOOST_TEST((Fleet.ask(Session, "read x").Error == refusal::Malformed));
+  client_answer Commit = Fleet.ask(Session, "commit");
+  BOOST_TEST((Commit.Error == refusal::Aborted));
+  BOOST_TEST((Commit.Phase == session_phase::Idle));
+}
+
+BOOST_AUTO_TEST_CASE(that_is_rolled_back_when_its_client_leaves) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "begin");
+  Fleet.ask(Session, "write x 1");
+  Fleet.Requests.clear();
+  Fleet.disconnect(Session);
+  BOOST_REQUIRE(Fleet.Requests.size() == 1U);
+  BOOST_TEST((Fleet.Requests[0].second.Verb == backend_verb::Rollback));
+}
+
+BOOST_AUTO_TEST_CASE(that_ends_when_it_is_idle_for_too_long) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "begin");
+  Fleet.ask(Session, "write x 1");
+  Fleet.run(3500ms);
+  // No message may reach a client that awaits none.
+  BOOST_TEST(Fleet.answers(Session).empty());
+  BOOST_TEST((Fleet.ask(Session, "write y 1").Error == refusal::Aborted));
+  BOOST_TEST((Fleet.ask(Session, "rollback").Phase == session_phase::Idle));
+}
+
+BOOST_AUTO_TEST_CASE(under_the_route_with_which_it_began) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "begin");
+  Fleet.ask(Session, "write x 1");
+  Fleet.configuration().Routes.erase("primary");
+  Fleet.setCatalog(2);
+  BOOST_TEST(!Fleet.ask(Session, "commit").Error.has_value());
+  BOOST_TEST((Fleet.ask(Session, "begin").Error == refusal::UnknownDatabase));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace radishrelay::sessions::tests
--- /dev/null
+++ b/packages/sessions/tests/listing_memory_test.cpp
@@ -0,0 +1,42 @@
+#include "radishrelay/sessions/listing_memory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishrelay::sessions::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+instance_listing entry(const std::string &Name) {
+  instance_listing Listing;
+  Listing.Instance = base::instance_id(Name);
+  return Listing;
+}
+
+base::time_point at(base::duration Time) {
+  return base::fromMicroseconds(10'000'000) + Time;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_list_of_instances)
+
+BOOST_AUTO_TEST_CASE(drops_an_entry_that_is_gone) {
+  listing_memory Memory;
+  Memory.merge({entry("a"), entry("b")}, at(0ms));
+  BOOST_TEST(Memory.merge({entry("a")}, at(1000ms)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_entries_that_lapsed_while_the_store_was_away) {
+  listing_memory Memory;
+  Memory.merge({entry("a"), entry("b")}, at(0ms));
+  Memory.noteFailure(at(1000ms));
+  BOOST_TEST(Memory.merge({}, at(5000ms)).size() == 2U);
+  BOOST_TEST(Memory.merge({entry("a")}, at(6000ms)).size() == 2U);
+  BOOST_TEST(Memory.merge({entry("a")}, at(7600ms)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace radishrelay::sessions::tests
--- /dev/null
+++ b/packages/sessions/tests/promotion_test.cpp
@@ -0,0 +1,217 @@
+#include "radishrelay/sessions/promotion.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishrelay::sessions::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using groups::instance_role;
+
+const base::instance_id P("p");
+const base::instance_id R1("r1");
+const base::instance_id R2("r2");
+
+struct fixture {
+  fixture() : Promotion(base::group_id("g"), options()) {}
+
+  static engine_options options() {
+    engine_options Options;
+    Options.Host = base::host_id("h1");
+    Options.Incarnation = "1";
+    return Options;
+  }
+
+  void start() {
+    Promotion.start({P, 1, {{P, false}, {R1, false}, {R2, false}}}, Now,
+                    Actions);
+  }
+
+  base::store_answer done(base::row_version Version) const {
+    base::store_answer Answer;
+    Answer.Outcome = base::store_outcome::Done;
+    Answer.Version = Version;
+    return Answer;
+  }
+
+  void claim() {
+    start();
+    Promotion.storeAnswered(done(0), Now, Actions);
+    Promotion.storeAnswered(done(42), Now, Actions);
+  }
+
+  void fenced(const base::instance_id &Instance, groups::log_offset Offset,
+              groups::term_number Fence = 2) {
+    Promotion.instanceAnswered(Instance,
+                               {instance_role::Replica, 1, {1, Offset}, Fence},
+                               Now, Actions);
+  }
+
+  void pass(base::duration Time) {
+    for (base::time_point End = Now + Time; Now < End;) {
+      Now += 1ms;
+      Promotion.advance(Now, Actions);
+    }
+  }
+
+  template <typename Kind> std::vector<Kind> sent() const {
+    std::vector<Kind> Result;
+    for (const promotion_action &Action : Actions)
+      if (const auto *Found = std::get_if<Kind>(&Action))
+        Result.push_back(*Found);
+    return Result;
+  }
+
+  base::time_point Now = base::fromMicroseconds(1'000'000);
+  promotion Promotion;
+  promotion_actions Actions;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_promotion)
+
+BOOST_FIXTURE_TEST_CASE(fences_nothing_before_its_claim_is_stored, fixture) {
+  start();
+  BOOST_TEST(sent<promotion_fence>().empty());
+  Promotion.storeAnswered(done(0), Now, Actions);
+  BOOST_TEST(sent<promotion_fence>().empty());
+  Promotion.storeAnswered(done(42), Now, Actions);
+  BOOST_TEST(sent<promotion_fence>().size() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(respects_the_claim_of_another_host_for_a_while,
+                        fixture) {
+  base::store_answer Others = done(7);
+  Others.Rows.push_back(
+      {{"promotions", "g"},
+       7,
+       {{"holder", "h2/1"}, {"operation", "9"}, {"term", 1}}});
+  start();
+  Promotion.storeAnswered(Others, Now, Actions);
+  BOOST_TEST(Promotion.isIdle());
+  pass(4000ms);
+  start();
+  Promotion.storeAnswered(Others, Now, Actions);
+  BOOST_TEST(Promotion.isIdle());
+  pass(1000ms);
+  start();
+  Promotion.storeAnswered(Others, Now, Actions);
+  BOOST_TEST((Promotion.stage() == promotion_stage::Claiming));
+}
+
+BOOST_FIXTURE_TEST_CASE(reads_back_a_claim_whose_answer_was_lost, fixture) {
+  start();
+  Promotion.storeAnswered(done(0), Now, Actions);
+  auto Claim = std::get<base::store_transaction>(
+      sent<promotion_store_call>().back().Request);
+  base::store_answer Lost;
+  Lost.Outcome = base::store_outcome::Unknown;
+  Promotion.storeAnswered(Lost, Now, Actions);
+  base::store_answer Stored = done(43);
+  Stored.Rows.push_back({{"promotions", "g"}, 43, Claim.Writes[0].Value});
+  Promotion.storeAnswered(Stored, Now, Actions);
+  BOOST_TEST((Promotion.stage() == promotion_stage::Fencing));
+}
+
+BOOST_FIXTURE_TEST_CASE(claims_anew_in_each_attempt, fixture) {
+  claim();
+  pass(4000ms); // no instance answers
+  BOOST_TEST(Promotion.isIdle());
+  pass(1000ms);
+  base::store_answer Own = done(42);
+  auto Claim = std::get<base::store_transaction>(
+      sent<promotion_store_call>().back().Request);
+  Own.Rows.push_back({{"promotions", "g"}, 42, Claim.Writes[0].Value});
+  start();
+  Promotion.storeAnswered(Own, Now, Actions);
+  BOOST_TEST((Promotion.stage() == promotion_stage::Claiming));
+}
+
+BOOST_FIXTURE_TEST_CASE(orders_with_the_version_of_its_claim, fixture) {
+  claim();
+  fenced(R1, 5);
+  fenced(R2, 9);
+  pass(1200ms);
+  fenced(R1, 5);
+  fenced(R2, 9);
+  BOOST_REQUIRE(sent<promotion_order>().size() == 1U);
+  BOOST_TEST(sent<promotion_order>()[0].Generation == 42U);
+  BOOST_TEST(sent<promotion_order>()[0].Instance == R2);
+}
+
+BOOST_FIXTURE_TEST_CASE(waits_when_only_one_of_three_is_fenced, fixture) {
+  claim();
+  fenced(R1, 5);
+  pass(3000ms);
+  BOOST_TEST(sent<promotion_order>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(promotes_the_old_primary_if_it_alone_is_ahead,
+                        fixture) {
+  claim();
+  fenced(R1, 5);
+  fenced(P, 9, 0); // demoted
+  pass(1200ms);
+  fenced(R1, 5);
+  fenced(P, 9, 0);
+  BOOST_REQUIRE(sent<promotion_order>().size() == 1U);
+  BOOST_TEST(sent<promotion_order>()[0].Instance == P);
+}
+
+BOOST_FIXTURE_TEST_CASE(ignores_commits_that_no_replica_holds, fixture) {
+  claim();
+  fenced(P, 9, 0);
+  fenced(R1, 5);
+  fenced(R2, 6);
+  pass(1200ms);
+  fenced(P, 9, 0);
+  fenced(R1, 5);
+  fenced(R2, 6);
+  pass(100ms);
+  BOOST_REQUIRE(!sent<promotion_order>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(fences_again_what_restarted_while_leases_ran_out,
+                        fixture) {
+  claim();
+  fenced(R1, 5);
+  fenced(R2, 9);
+  pass(1200ms);
+  fenced(R1, 5);
+  fenced(R2, 9, 0); // restarted: the fence is gone
+  BOOST_TEST(sent<promotion_order>().empty());
+  fenced(R2, 9);
+  pass(500ms);
+  BOOST_TEST(sent<promotion_order>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(orders_nothing_once_another_may_hold_the_claim,
+                        fixture) {
+  claim();
+  Now += 5000ms; // the host was suspended
+  Promotion.advance(Now, Actions);
+  fenced(R1, 5);
+  fenced(R2, 9);
+  pass(2000ms);
+  BOOST_TEST(sent<promotion_order>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_the_fences_once_the_new_primary_leads, fixture) {
+  claim();
+  fenced(R1, 5);
+  fenced(R2, 9);
+  pass(1200ms);
+  fenced(R1, 5);
+  fenced(R2, 9);
+  Promotion.orderAnswered(true, Now, Actions);
+  Promotion.instanceAnswered(R2, {instance_role::Primary, 2, {2, 9}, 0}, Now,
+                             Actions);
+  BOOST_TEST(Promotion.isIdle());
+  BOOST_TEST(sent<promotion_unfence>().size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace radishrelay::sessions::tests
