Share proofs of the primary within a failure domain; call the store less

Hosts now ask two neighbours for a proof before they ask instances, and renew a proof before it runs out. Instances are listed every 2 s, members renewed every 8 s.

--- a/packages/daemon/src/service_threads.cpp
+++ b/packages/daemon/src/service_threads.cpp
@@ -4,11 +4,14 @@
 
 namespace {
 
-/// How long a call for the configuration may wait for a change.
-constexpr base::duration CatalogWait = std::chrono::milliseconds(2500);
-constexpr base::duration CatalogRetry = std::chrono::milliseconds(250);
-/// Instances are read this often; their entries change every second or so.
-constexpr base::duration InstancesInterval = std::chrono::milliseconds(1000);
+/// How long a call for the configuration may wait for a change. A connection
+/// that has gone silent hides a change for as long, which with the pause before
+/// the next call has to stay below the 4 s that a host has to recover in.
+constexpr base::duration CatalogWait = std::chrono::milliseconds(3400);
+constexpr base::duration CatalogRetry = std::chrono::milliseconds(200);
+/// Instances are read this often: a leaving one must be known well before the
+/// 7 s in which it may still get work have passed.
+constexpr base::duration InstancesInterval = std::chrono::milliseconds(2000);
 constexpr base::duration InstancesRetry = std::chrono::milliseconds(400);
 constexpr base::duration InstancesTimeout = std::chrono::milliseconds(1000);
 constexpr base::duration TableTimeout = std::chrono::milliseconds(1000);
--- a/packages/daemon/src/session_daemon.cpp
+++ b/packages/daemon/src/session_daemon.cpp
@@ -177,7 +177,9 @@
     flushOutputs();
     Closing.clear();
   }
-  base::logEvent(base::log_level::Info, "drained", {{"host", Settings.HostId}});
+  updateGauges();
+  base::logEvent(base::log_level::Info, "drained",
+                 {{"host", Settings.HostId}, {"metrics", Metrics.dump()}});
 }
 
 void session_daemon::requestStop() {
@@ -384,6 +386,13 @@
   Set("radishrelay_reads_on_primaries", Counters.ReadsOnPrimaries);
   Set("radishrelay_retried_elsewhere", Counters.RetriedElsewhere);
   Set("radishrelay_rate_exceeded", Counters.RateExceeded);
+  Set("radishrelay_backend_connections_opened", Engine.connectionsOpened());
+  for (std::size_t Verb = 0; Verb < sessions::BackendVerbs; ++Verb) {
+    auto Name = sessions::verbName(static_cast<sessions::backend_verb>(Verb));
+    Metrics.setGauge(
+        {"radishrelay_backend_requests", "verb", std::string(Name)},
+        static_cast<double>(Engine.requests().at(Verb)));
+  }
   Set("radishrelay_client_connections", Clients.size());
   Set("radishrelay_backend_connections", Backends.size());
 }
--- a/packages/sessions/include/radishrelay/sessions/backend_request.h
+++ b/packages/sessions/include/radishrelay/sessions/backend_request.h
@@ -3,8 +3,10 @@
 
 #include "radishrelay/groups/log_position.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace radishrelay::sessions {
 
@@ -30,6 +32,11 @@
   Unfence,
 };
 
+constexpr std::size_t BackendVerbs = 12;
+
+/// Name for metrics, in snake case.
+std::string_view verbName(backend_verb Verb);
+
 /// One request on a backend connection.
 struct backend_request {
   backend_verb Verb = backend_verb::Status;
--- a/packages/sessions/include/radishrelay/sessions/detail/backend_pool.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/backend_pool.h
@@ -6,12 +6,16 @@
 #include "radishrelay/sessions/detail/backend_connection.h"
 #include "radishrelay/sessions/engine_options.h"
 
+#include <array>
 #include <map>
 #include <set>
 #include <vector>
 
 namespace radishrelay::sessions::detail {
 
+/// Number of requests of each backend_verb.
+using request_counts = std::array<std::uint64_t, BackendVerbs>;
+
 /// How well an instance can take a session now.
 enum class pool_room {
   /// An idle connection of the account.
@@ -72,6 +76,9 @@
   /// Closes idle connections above this host's part.
   void trim(base::time_point Now);
   [[nodiscard]] std::size_t size() const { return Connections.size(); }
+  /// Requests sent, by backend_verb.
+  [[nodiscard]] const request_counts &requests() const { return Requests; }
+  [[nodiscard]] std::uint64_t opened() const { return LastNumber; }
   [[nodiscard]] base::json dump() const;
 
 private:
@@ -97,6 +104,7 @@
   std::map<base::group_id, std::size_t> Limits;
   std::map<backend_number, backend_connection> Connections;
   std::uint64_t LastNumber = 0;
+  request_counts Requests{};
   /// Latest time point seen, for limits that end by themselves.
   base::time_point Latest;
 };
--- a/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
@@ -4,8 +4,10 @@
 #include "radishrelay/accounts/lending_limiter.h"
 #include "radishrelay/base/random_generator.h"
 #include "radishrelay/sessions/catalog.h"
-#include "radishrelay/sessions/detail/group_supervisor.h"
+#include "radishrelay/sessions/detail/fleet_size.h"
+#include "radishrelay/sessions/detail/peer_message.h"
 #include "radishrelay/sessions/detail/store_calls.h"
+#include "radishrelay/sessions/engine_options.h"
 #include "radishrelay/sessions/event_log.h"
 
 #include <set>
@@ -27,7 +29,13 @@
   void setCatalog(const catalog_ptr &Catalog, base::time_point Now);
   void advance(base::time_point Now);
   [[nodiscard]] base::time_point nextWake() const { return NextRenewalAt; }
-  void receiveDatagram(const std::string &Bytes, base::time_point Now);
+  /// Takes messages about tokens.
+  void receive(const token_wish &Wish, const std::string &ReplyTo,
+               base::time_point Now);
+  void receive(const token_gift &Gift, base::time_point Now);
+  void send(const peer_message &Message, const std::string &Address);
+  /// Addresses of other hosts in this failure domain.
+  [[nodiscard]] std::vector<std::string> neighbours() const;
 
   /// Takes one operation of \p Account out of its limit.
   bool admit(const base::account_id &Account, base::time_point Now);
@@ -58,8 +66,6 @@
   void updateShare(base::time_point Now);
   void askForTokens(base::time_point Now);
   [[nodiscard]] const std::string *nextLender();
-  void sendTransfer(const char *Kind, const accounts::token_transfer &Transfer,
-                    const std::string &Address);
 
   engine_options Options;
   store_calls &Store;
--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -3,6 +3,7 @@
 
 #include "radishrelay/sessions/catalog.h"
 #include "radishrelay/sessions/detail/backend_pool.h"
+#include "radishrelay/sessions/detail/fleet_members.h"
 #include "radishrelay/sessions/detail/promotion_votes.h"
 #include "radishrelay/sessions/detail/store_calls.h"
 #include "radishrelay/sessions/event_log.h"
@@ -13,26 +14,19 @@
 
 namespace radishrelay::sessions::detail {
 
-/// The hosts that may vote on a promotion.
-struct fleet_size {
-  std::size_t Hosts = 1;
-  std::size_t Domains = 1;
-  /// How long this host lets others go first.
-  base::duration PromotionDelay{};
-};
-
 /// One host's care for one database group: proves the primary when sessions
 /// need it, and has a lost or leaving primary replaced.
 class group_supervisor {
 public:
   group_supervisor(base::group_id Group, const engine_options &Options,
-                   backend_pool &Pool, store_calls &Store, event_log &Log);
+                   backend_pool &Pool, store_calls &Store,
+                   fleet_members &Members, event_log &Log);
 
   /// Takes the listed instances of the group.
   void setListings(const std::map<base::instance_id, instance_listing> &List,
                    base::time_point Now);
   void setSettings(const group_settings &Settings);
-  void setFleet(const fleet_size &Size) { Fleet = Size; }
+  void setFleet(const fleet_size &NewSize) { Size = NewSize; }
   /// Account for connections that are opened for status calls.
   void setCallAccount(const base::account_id &Account) {
     CallAccount = Account;
@@ -62,6 +56,12 @@
   bool callAnswered(const base::instance_id &Instance,
                     const instance_condition &Condition,
                     base::time_point SentAt, base::time_point Now);
+  /// What this host can prove, for another host of its failure domain; empty
+  /// when it proves nothing now.
+  [[nodiscard]] std::optional<proof_offer> offer(const proof_wish &Wish,
+                                                 base::time_point Now) const;
+  /// Takes another host's proof; true if the primary is proved by it.
+  bool receive(const proof_offer &Offer, base::time_point Now);
   void advance(base::time_point Now);
   [[nodiscard]] base::time_point nextWake(base::time_point Now) const;
   [[nodiscard]] base::json dump() const;
@@ -73,6 +73,9 @@
     base::time_point UnlistedAt;
   };
 
+  /// Renews the proof in time: asks other hosts first, then instances.
+  void seekProof(base::time_point Now);
+  void askNeighbours(base::time_point Now);
   void startProbe(base::time_point Now);
   void endProbe(base::time_point Now);
   void noteProved(base::time_point Now);
@@ -90,9 +93,10 @@
   engine_options Options;
   backend_pool &Pool;
   store_calls &Store;
+  fleet_members &Fleet;
   event_log &Log;
   group_settings Settings;
-  fleet_size Fleet;
+  fleet_size Size;
   base::account_id CallAccount;
 
   group_leadership Leadership;
@@ -102,6 +106,10 @@
 
   /// Last time at which a session needed a proof.
   base::time_point WantedAt;
+  /// Until when answers of other hosts are awaited before a probe.
+  std::optional<base::time_point> NeighboursUntil;
+  base::time_point NextAskAt;
+  std::size_t NeighbourIndex = 0;
   bool IsProbing = false;
   base::time_point ProbeStartedAt;
   base::time_point NextProbeAt;
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
@@ -0,0 +1,74 @@
+#ifndef RADISHRELAY_SESSIONS_DETAIL_PEER_MESSAGE_H
+#define RADISHRELAY_SESSIONS_DETAIL_PEER_MESSAGE_H
+
+#include "radishrelay/accounts/lending_limiter.h"
+#include "radishrelay/base/identifier.h"
+#include "radishrelay/base/monotonic_clock.h"
+#include "radishrelay/groups/log_position.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace radishrelay::sessions::detail {
+
+/// Asks for tokens of an account.
+struct token_wish {
+  accounts::token_transfer Transfer;
+
+  friend bool operator==(const token_wish &, const token_wish &) = default;
+};
+
+/// Gives tokens of an account.
+struct token_gift {
+  accounts::token_transfer Transfer;
+
+  friend bool operator==(const token_gift &, const token_gift &) = default;
+};
+
+/// Asks what the receiver can prove about the primary of a group.
+struct proof_wish {
+  base::group_id Group;
+  /// When it was sent, by the clock of its sender; returned with the answer.
+  base::time_point SentAt;
+
+  friend bool operator==(const proof_wish &, const proof_wish &) = default;
+};
+
+/// What its sender can prove about the primary of a group.
+struct proof_offer {
+  base::group_id Group;
+  /// The SentAt of the wish. The sender held the proof after it, so the proof
+  /// is at most Age older than this on the clock of the receiver.
+  base::time_point AskedAt;
+  base::instance_id Primary;
+  groups::term_number Term = 0;
+  /// Age of the proof when the offer was sent.
+  base::duration Age{};
+  /// End of the primary's log in an answer to a request of that age.
+  std::optional<groups::log_position> Position;
+  base::duration PositionAge{};
+
+  friend bool operator==(const proof_offer &, const proof_offer &) = default;
+};
+
+using peer_message =
+    std::variant<token_wish, token_gift, proof_wish, proof_offer>;
+
+/// A message with the address that answers go to.
+struct peer_datagram {
+  std::string ReplyTo;
+  peer_message Message;
+
+  friend bool operator==(const peer_datagram &,
+                         const peer_datagram &) = default;
+};
+
+/// Packs a datagram as MessagePack.
+std::string encodeDatagram(const peer_datagram &Datagram);
+/// Empty when \p Bytes hold no datagram of this version.
+std::optional<peer_datagram> decodeDatagram(const std::string &Bytes);
+
+} // namespace radishrelay::sessions::detail
+
+#endif
--- a/packages/sessions/include/radishrelay/sessions/engine_options.h
+++ b/packages/sessions/include/radishrelay/sessions/engine_options.h
@@ -56,14 +56,15 @@
   base::duration UnlistedLifetime = std::chrono::seconds(8);
 
   /// How often a host renews its row in the table of members.
-  base::duration MemberInterval = std::chrono::seconds(4);
+  base::duration MemberInterval = std::chrono::seconds(8);
   /// A member whose row is not renewed for so long has ended its share before
-  /// and is removed; twice the longest expected outage of the store.
-  base::duration MemberLifetime = std::chrono::seconds(25);
+  /// and is removed; more than twice the longest expected outage of the
+  /// store.
+  base::duration MemberLifetime = std::chrono::seconds(40);
   /// A host that could not renew its row for so long stops using its share.
-  base::duration ShareLifetime = std::chrono::seconds(20);
+  base::duration ShareLifetime = std::chrono::seconds(30);
   /// A new member uses its share after the others have read its row.
-  base::duration NewMemberDelay = std::chrono::seconds(5);
+  base::duration NewMemberDelay = std::chrono::seconds(9);
 
   /// How long after an instance was first seen leaving it may get new work.
   base::duration LeavingUse = std::chrono::milliseconds(4500);
--- a/packages/sessions/include/radishrelay/sessions/group_leadership.h
+++ b/packages/sessions/include/radishrelay/sessions/group_leadership.h
@@ -42,6 +42,9 @@
   void noteCondition(const base::instance_id &Instance,
                      const instance_condition &Condition,
                      base::time_point SentAt);
+  /// Another host holds a proof for \p Instance of \p ProvedAt.
+  void noteProof(const base::instance_id &Instance, groups::term_number NewTerm,
+                 base::time_point ProvedAt);
   /// \p Instance has rejected work of a primary.
   void noteNotPrimary(const base::instance_id &Instance);
 
@@ -61,6 +64,13 @@
   [[nodiscard]] std::optional<groups::log_position>
   positionSince(base::time_point Time) const;
 
+  /// A position of the primary's log and the time at which it was asked for.
+  struct evidence {
+    base::time_point SentAt;
+    groups::log_position Position;
+  };
+  [[nodiscard]] std::optional<evidence> newestEvidence() const;
+
   /// Conditions by instance, for promotions and dumps.
   struct dated_condition {
     instance_condition Condition;
@@ -74,11 +84,6 @@
   [[nodiscard]] base::json dump() const;
 
 private:
-  struct evidence {
-    base::time_point SentAt;
-    groups::log_position Position;
-  };
-
   void prove(const base::instance_id &Instance, groups::term_number NewTerm,
              base::time_point SentAt);
   void proveFromConditions();
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -64,6 +64,14 @@
   [[nodiscard]] base::time_point nextWake(base::time_point Now) const;
 
   [[nodiscard]] const engine_counters &counters() const { return Counters; }
+  /// Requests sent to instances, by backend_verb.
+  [[nodiscard]] const detail::request_counts &requests() const {
+    return Pool.requests();
+  }
+  /// Connections to instances opened since the start.
+  [[nodiscard]] std::uint64_t connectionsOpened() const {
+    return Pool.opened();
+  }
   [[nodiscard]] base::json dump() const;
 
 private:
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr const char *MembersTable = "members";
-constexpr const char *AskKind = "ask";
-constexpr const char *GiftKind = "gift";
 /// A renewal that has no answer is asked for again.
 constexpr base::duration RenewalTimeout = std::chrono::seconds(2);
 /// After the first start the table is read again soon, since all hosts start
@@ -186,40 +184,32 @@
 void fleet_members::askForTokens(base::time_point Now) {
   for (const accounts::token_transfer &Wish : Limiter.wishes(Now))
     if (const std::string *Lender = nextLender())
-      sendTransfer(AskKind, Wish, *Lender);
-}
-
-void fleet_members::sendTransfer(const char *Kind,
-                                 const accounts::token_transfer &Transfer,
-                                 const std::string &Address) {
-  base::json Message = base::json::array(
-      {Kind, Transfer.Account.str(), Transfer.Tokens, Options.PeerAddress});
-  std::vector<std::uint8_t> Packed = base::json::to_msgpack(Message);
-  Port.sendDatagram(Address, std::string(Packed.begin(), Packed.end()));
-}
-
-void fleet_members::receiveDatagram(const std::string &Bytes,
-                                    base::time_point Now) {
-  constexpr bool Strict = true;
-  constexpr bool ThrowErrors = false;
-  base::json Message = base::json::from_msgpack(Bytes, Strict, ThrowErrors);
-  bool IsReadable = Message.is_array() && Message.size() == 4 &&
-                    Message[0].is_string() && Message[1].is_string() &&
-                    Message[2].is_number_integer() && Message[3].is_string();
-  if (!IsReadable) {
-    Log.decision("datagram not readable", {{"bytes", Bytes.size()}});
-    return;
-  }
-  accounts::token_transfer Transfer{
-      base::account_id(Message[1].get<std::string>()),
-      Message[2].get<std::int64_t>()};
-  if (Message[0] == AskKind) {
-    if (auto Gift = Limiter.lend(Transfer, Now))
-      sendTransfer(GiftKind, *Gift, Message[3].get<std::string>());
-  } else {
-    Limiter.receive(Transfer, Now);
-    DidTokensArrive = true;
-  }
+      send(token_wish{Wish}, *Lender);
+}
+
+void fleet_members::send(const peer_message &Message,
+                         const std::string &Address) {
+  Port.sendDatagram(Address, encodeDatagram({Options.PeerAddress, Message}));
+}
+
+std::vector<std::string> fleet_members::neighbours() const {
+  std::vector<std::string> Result;
+  for (const auto &[Name, Member] : Members)
+    if (Member.Domain == Options.Domain.str() && Name != Options.Host.str() &&
+        !Member.Address.empty())
+      Result.push_back(Member.Address);
+  return Result;
+}
+
+void fleet_members::receive(const token_wish &Wish, const std::string &ReplyTo,
+                            base::time_point Now) {
+  if (auto Gift = Limiter.lend(Wish.Transfer, Now))
+    send(token_gift{*Gift}, ReplyTo);
+}
+
+void fleet_members::receive(const token_gift &Gift, base::time_point Now) {
+  Limiter.receive(Gift.Transfer, Now);
+  DidTokensArrive = true;
 }
 
 bool fleet_members::takeTokensArrived() {
--- a/packages/sessions/src/group_leadership.cpp
+++ b/packages/sessions/src/group_leadership.cpp
@@ -46,6 +46,21 @@
   HasProof = true;
 }
 
+void group_leadership::noteProof(const base::instance_id &Instance,
+                                 groups::term_number NewTerm,
+                                 base::time_point ProvedAt) {
+  HighestTerm = std::max(HighestTerm, NewTerm);
+  if (Members.contains(Instance))
+    prove(Instance, NewTerm, ProvedAt);
+}
+
+std::optional<group_leadership::evidence>
+group_leadership::newestEvidence() const {
+  if (Evidence.empty() || Evidence.back().Position.Term != Term)
+    return std::nullopt;
+  return Evidence.back();
+}
+
 bool group_leadership::isProved(base::time_point Now) const {
   return HasProof && Primary && Now <= ProvedAt + LeaseDuration;
 }
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -9,6 +9,12 @@
 /// After a session's last need of a proof, probes go on for so long, so that a
 /// lost primary is replaced before the next session comes.
 constexpr base::duration DemandLifetime = std::chrono::seconds(3);
+/// A proof is renewed this long before it runs out.
+constexpr base::duration RenewalTime = std::chrono::milliseconds(350);
+/// Other hosts of the failure domain answer within one round trip, below 1 ms.
+constexpr base::duration NeighbourPatience = std::chrono::milliseconds(8);
+constexpr base::duration AskInterval = std::chrono::milliseconds(100);
+constexpr std::size_t AskedNeighbours = 2;
 /// A failed write may be a lost answer; two without a success between are not.
 constexpr std::uint32_t WriteTimeoutsToSuspect = 2;
 
@@ -17,9 +23,9 @@
 group_supervisor::group_supervisor(base::group_id Group,
                                    const engine_options &Options,
                                    backend_pool &Pool, store_calls &Store,
-                                   event_log &Log)
+                                   fleet_members &Fleet, event_log &Log)
     : Group(std::move(Group)), Options(Options), Pool(Pool), Store(Store),
-      Log(Log), Leadership(Options.LeaseDuration),
+      Fleet(Fleet), Log(Log), Leadership(Options.LeaseDuration),
       Promotion(this->Group, Options), Votes(this->Group, Options) {}
 
 void group_supervisor::setListings(
@@ -65,10 +71,71 @@
 
 void group_supervisor::wantProof(base::time_point Now) {
   WantedAt = Now;
-  if (!IsProbing && Now >= NextProbeAt && isProbeNeeded(Now))
+  seekProof(Now);
+}
+
+void group_supervisor::seekProof(base::time_point Now) {
+  if (IsProbing || Now >= WantedAt + DemandLifetime)
+    return;
+  bool IsDoubted = FailedProbes > 0 || FirstFailureAt > Leadership.provedAt();
+  bool IsProvedLonger = Leadership.isProved(Now + RenewalTime);
+  if (!IsDoubted && !IsProvedLonger && Now >= NextAskAt)
+    askNeighbours(Now);
+  bool AreNeighboursAwaited = NeighboursUntil && Now < *NeighboursUntil;
+  if (!AreNeighboursAwaited && Now >= NextProbeAt && isProbeNeeded(Now))
     startProbe(Now);
 }
 
+void group_supervisor::askNeighbours(base::time_point Now) {
+  NextAskAt = Now + AskInterval;
+  std::vector<std::string> Neighbours = Fleet.neighbours();
+  std::size_t Count = std::min(AskedNeighbours, Neighbours.size());
+  if (Count == 0)
+    return;
+  NeighboursUntil = Now + NeighbourPatience;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Fleet.send(proof_wish{Group, Now},
+               Neighbours.at(++NeighbourIndex % Neighbours.size()));
+}
+
+std::optional<proof_offer> group_supervisor::offer(const proof_wish &Wish,
+                                                   base::time_point Now) const {
+  bool IsOfUse = FailedProbes == 0 && FirstFailureAt <= Leadership.provedAt() &&
+                 Leadership.isProved(Now + RenewalTime);
+  if (!IsOfUse)
+    return std::nullopt;
+  proof_offer Offer;
+  Offer.Group = Group;
+  Offer.AskedAt = Wish.SentAt;
+  Offer.Primary = *Leadership.primary();
+  Offer.Term = Leadership.term();
+  Offer.Age = Now - Leadership.provedAt();
+  if (auto Newest = Leadership.newestEvidence()) {
+    Offer.Position = Newest->Position;
+    Offer.PositionAge = Now - Newest->SentAt;
+  }
+  return Offer;
+}
+
+bool group_supervisor::receive(const proof_offer &Offer, base::time_point Now) {
+  base::time_point ProvedAt = Offer.AskedAt - Offer.Age;
+  bool IsNewer = ProvedAt > Leadership.provedAt();
+  // Doubts of this host go before what another believes.
+  bool IsDoubted = FailedProbes > 0 || FirstFailureAt > Leadership.provedAt();
+  if (IsDoubted || Offer.Age < base::duration::zero() || Offer.AskedAt > Now)
+    return false;
+  Leadership.noteProof(Offer.Primary, Offer.Term, ProvedAt);
+  if (Offer.Position)
+    Leadership.notePosition(Offer.Primary, *Offer.Position,
+                            Offer.AskedAt - Offer.PositionAge);
+  if (!Leadership.isProved(Now))
+    return false;
+  if (IsNewer)
+    noteProved(Now);
+  NeighboursUntil.reset();
+  return true;
+}
+
 bool group_supervisor::isProbeNeeded(base::time_point Now) const {
   bool IsDoubted = FailedProbes > 0 || FirstFailureAt > Leadership.provedAt();
   bool IsWanted = Now < WantedAt + DemandLifetime;
@@ -178,7 +245,7 @@
   if (isPrimaryLeaving()) {
     if (!ReplaceSince)
       ReplaceSince = Now;
-    if (Now >= *ReplaceSince + Fleet.PromotionDelay)
+    if (Now >= *ReplaceSince + Size.PromotionDelay)
       startPromotion(Now, "primary is leaving");
     return;
   }
@@ -190,11 +257,11 @@
   if (Now >= NextVoteAt)
     castVote(Now);
   groups::term_number Term = Leadership.highestTerm();
-  if (!Votes.isAgreed(Term, Fleet.Hosts, Fleet.Domains, Now))
+  if (!Votes.isAgreed(Term, Size.Hosts, Size.Domains, Now))
     return;
   if (!ReplaceSince)
     ReplaceSince = Now;
-  if (Now >= *ReplaceSince + Fleet.PromotionDelay)
+  if (Now >= *ReplaceSince + Size.PromotionDelay)
     startPromotion(Now, "primary is lost");
 }
 
@@ -303,8 +370,7 @@
     updateMembers();
   if (IsProbing && Now >= ProbeStartedAt + Options.StatusTimeout)
     endProbe(Now);
-  if (!IsProbing && Now >= NextProbeAt && isProbeNeeded(Now))
-    startProbe(Now);
+  seekProof(Now);
   considerPromotion(Now);
   promotion_actions Actions;
   Promotion.advance(Now, Actions);
@@ -316,9 +382,12 @@
   if (IsProbing)
     Wake = std::min(Wake, ProbeStartedAt + Options.StatusTimeout);
   else if (isProbeNeeded(Now))
-    Wake = std::min(Wake, NextProbeAt);
+    Wake = std::min(Wake, std::max(NextProbeAt, NeighboursUntil.value_or(Now)));
+  else if (Now < WantedAt + DemandLifetime)
+    Wake = std::min(Wake, Leadership.provedAt() + Options.LeaseDuration -
+                              RenewalTime);
   if (ReplaceSince)
-    Wake = std::min(Wake, *ReplaceSince + Fleet.PromotionDelay);
+    Wake = std::min(Wake, *ReplaceSince + Size.PromotionDelay);
   if (isSuspected(Now))
     Wake = std::min(Wake, NextVoteAt);
   return Wake;
--- /dev/null
+++ b/packages/sessions/src/peer_message.cpp
@@ -0,0 +1,105 @@
+#include "radishrelay/sessions/detail/peer_message.h"
+
+#include "radishrelay/base/json.h"
+
+namespace radishrelay::sessions::detail {
+
+namespace {
+
+using base::json;
+
+// The first element of a packed datagram tells its kind.
+constexpr int TokenWishKind = 1;
+constexpr int TokenGiftKind = 2;
+constexpr int ProofWishKind = 3;
+constexpr int ProofOfferKind = 4;
+
+struct packer {
+  const std::string &ReplyTo;
+
+  json tokens(int Kind, const accounts::token_transfer &Transfer) const {
+    return json::array(
+        {Kind, ReplyTo, Transfer.Account.str(), Transfer.Tokens});
+  }
+  json operator()(const token_wish &Wish) const {
+    return tokens(TokenWishKind, Wish.Transfer);
+  }
+  json operator()(const token_gift &Gift) const {
+    return tokens(TokenGiftKind, Gift.Transfer);
+  }
+  json operator()(const proof_wish &Wish) const {
+    return json::array({ProofWishKind, ReplyTo, Wish.Group.str(),
+                        base::toMicroseconds(Wish.SentAt)});
+  }
+  json operator()(const proof_offer &Offer) const {
+    json Result =
+        json::array({ProofOfferKind, ReplyTo, Offer.Group.str(),
+                     base::toMicroseconds(Offer.AskedAt), Offer.Primary.str(),
+                     Offer.Term, Offer.Age.count()});
+    if (Offer.Position) {
+      Result.push_back(Offer.Position->Term);
+      Result.push_back(Offer.Position->Offset);
+      Result.push_back(Offer.PositionAge.count());
+    }
+    return Result;
+  }
+};
+
+accounts::token_transfer unpackTokens(const json &Packed) {
+  return {base::account_id(Packed.at(2).get<std::string>()),
+          Packed.at(3).get<std::int64_t>()};
+}
+
+proof_offer unpackOffer(const json &Packed) {
+  constexpr std::size_t SizeWithPosition = 10;
+  proof_offer Offer;
+  Offer.Group = base::group_id(Packed.at(2).get<std::string>());
+  Offer.AskedAt = base::fromMicroseconds(Packed.at(3).get<std::int64_t>());
+  Offer.Primary = base::instance_id(Packed.at(4).get<std::string>());
+  Offer.Term = Packed.at(5).get<groups::term_number>();
+  Offer.Age = base::duration(Packed.at(6).get<std::int64_t>());
+  if (Packed.size() == SizeWithPosition) {
+    Offer.Position = {Packed.at(7).get<groups::term_number>(),
+                      Packed.at(8).get<groups::log_offset>()};
+    Offer.PositionAge = base::duration(Packed.at(9).get<std::int64_t>());
+  }
+  return Offer;
+}
+
+} // namespace
+
+std::string encodeDatagram(const peer_datagram &Datagram) {
+  std::vector<std::uint8_t> Packed =
+      json::to_msgpack(std::visit(packer{Datagram.ReplyTo}, Datagram.Message));
+  return {Packed.begin(), Packed.end()};
+}
+
+std::optional<peer_datagram> decodeDatagram(const std::string &Bytes) {
+  constexpr bool Strict = true;
+  constexpr bool ThrowErrors = false;
+  json Packed = json::from_msgpack(Bytes, Strict, ThrowErrors);
+  if (!Packed.is_array() || Packed.size() < 4)
+    return std::nullopt;
+  try {
+    std::string ReplyTo = Packed.at(1).get<std::string>();
+    switch (Packed.at(0).get<int>()) {
+    case TokenWishKind:
+      return peer_datagram{ReplyTo, token_wish{unpackTokens(Packed)}};
+    case TokenGiftKind:
+      return peer_datagram{ReplyTo, token_gift{unpackTokens(Packed)}};
+    case ProofWishKind:
+      return peer_datagram{
+          ReplyTo,
+          proof_wish{base::group_id(Packed.at(2).get<std::string>()),
+                     base::fromMicroseconds(Packed.at(3).get<std::int64_t>())}};
+    case ProofOfferKind:
+      return peer_datagram{ReplyTo, unpackOffer(Packed)};
+    default:
+      return std::nullopt;
+    }
+  } catch (const json::exception &) {
+    return std::nullopt; // another version, or not a datagram of a host
+  }
+}
+
+} // namespace radishrelay::sessions::detail
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -80,7 +80,7 @@
     auto [Entry, IsNew] = Groups.try_emplace(Id);
     if (IsNew) {
       Entry->second =
-          std::make_unique<supervisor>(Id, Options, Pool, Store, Log);
+          std::make_unique<supervisor>(Id, Options, Pool, Store, Members, Log);
       Entry->second->setListings(List, Now);
     }
     Entry->second->setSettings(Settings);
@@ -168,7 +168,28 @@
 
 void session_engine::datagramReceived(const std::string &Bytes,
                                       base::time_point Now) {
-  Members.receiveDatagram(Bytes, Now);
+  std::optional<detail::peer_datagram> Datagram = detail::decodeDatagram(Bytes);
+  if (!Datagram) {
+    if (Log.wantsDecision(true))
+      Log.decision("datagram not readable", {{"bytes", Bytes.size()}});
+    return;
+  }
+  if (const auto *Wish = std::get_if<detail::token_wish>(&Datagram->Message)) {
+    Members.receive(*Wish, Datagram->ReplyTo, Now);
+  } else if (const auto *Gift =
+                 std::get_if<detail::token_gift>(&Datagram->Message)) {
+    Members.receive(*Gift, Now);
+  } else if (const auto *Ask =
+                 std::get_if<detail::proof_wish>(&Datagram->Message)) {
+    supervisor *Group = groupOf(Ask->Group);
+    if (auto Offer = Group ? Group->offer(*Ask, Now) : std::nullopt)
+      Members.send(*Offer, Datagram->ReplyTo);
+  } else {
+    const auto &Offer = std::get<detail::proof_offer>(Datagram->Message);
+    supervisor *Group = groupOf(Offer.Group);
+    if (Group && Group->receive(Offer, Now))
+      ShouldServeWaiting = true;
+  }
 }
 
 void session_engine::setWake(session &Session, base::time_point At) {
