--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -60,6 +60,9 @@
   /// when it proves nothing now.
   [[nodiscard]] std::optional<proof_offer> offer(const proof_wish &Wish,
                                                  base::time_point Now) const;
+  void receive(const promotion_vote &Vote, base::time_point Now) {
+    Votes.receive(Vote, Now);
+  }
   /// Takes another host's proof; true if the primary is proved by it.
   bool receive(const proof_offer &Offer, base::time_point Now);
   void advance(base::time_point Now);
@@ -77,6 +80,7 @@
   void seekProof(base::time_point Now);
   void askNeighbours(base::time_point Now);
   void startProbe(base::time_point Now);
+  void startProbeIfDue(base::time_point Now);
   void endProbe(base::time_point Now);
   void noteProved(base::time_point Now);
   [[nodiscard]] bool isProbeNeeded(base::time_point Now) const;
@@ -84,7 +88,7 @@
   [[nodiscard]] bool isPrimaryLeaving() const;
   void considerPromotion(base::time_point Now);
   void castVote(base::time_point Now);
-  void withdrawVote();
+  [[nodiscard]] bool canFence(base::time_point Now) const;
   void startPromotion(base::time_point Now, std::string_view Reason);
   void perform(const promotion_actions &Actions, base::time_point Now);
   void updateMembers();
--- a/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
@@ -52,8 +52,19 @@
   friend bool operator==(const proof_offer &, const proof_offer &) = default;
 };
 
-using peer_message =
-    std::variant<token_wish, token_gift, proof_wish, proof_offer>;
+/// Its sender misses the primary of a group.
+struct promotion_vote {
+  base::group_id Group;
+  groups::term_number Term = 0;
+  base::host_id Host;
+  base::failure_domain_id Domain;
+
+  friend bool operator==(const promotion_vote &,
+                         const promotion_vote &) = default;
+};
+
+using peer_message = std::variant<token_wish, token_gift, proof_wish,
+                                  proof_offer, promotion_vote>;
 
 /// A message with the address that answers go to.
 struct peer_datagram {
--- a/packages/sessions/include/radishrelay/sessions/detail/promotion_votes.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/promotion_votes.h
@@ -1,12 +1,11 @@
 #ifndef RADISHRELAY_SESSIONS_DETAIL_PROMOTION_VOTES_H
 #define RADISHRELAY_SESSIONS_DETAIL_PROMOTION_VOTES_H
 
-#include "radishrelay/base/store_answer.h"
-#include "radishrelay/groups/log_position.h"
-#include "radishrelay/sessions/engine_options.h"
+#include "radishrelay/base/monotonic_clock.h"
+#include "radishrelay/sessions/detail/fleet_size.h"
+#include "radishrelay/sessions/detail/peer_message.h"
 
 #include <map>
-#include <set>
 
 namespace radishrelay::sessions::detail {
 
@@ -14,33 +13,25 @@
 ///
 /// A promotion stops a group's writes for seconds, so one host that is cut off
 /// from a healthy primary must not start one: hosts of two failure domains
-/// have to agree, and a quarter of all hosts.
+/// have to agree, and a quarter of all hosts. Votes travel as datagrams, since
+/// a primary may be lost while the store is slow.
 class promotion_votes {
 public:
-  promotion_votes(base::group_id Group, const engine_options &Options)
-      : Group(std::move(Group)), Options(Options) {}
+  explicit promotion_votes(base::duration Lifetime) : Lifetime(Lifetime) {}
 
-  [[nodiscard]] base::row_key ownKey() const;
-  [[nodiscard]] base::json ownVote(groups::term_number Term) const;
-
-  /// Takes the rows of the table of votes.
-  void read(const std::vector<base::table_row> &Rows, base::time_point Now);
-  /// Whether enough hosts miss the primary of \p Term. \p Hosts is the number
-  /// of all hosts, \p Domains that of their failure domains.
-  [[nodiscard]] bool isAgreed(groups::term_number Term, std::size_t Hosts,
-                              std::size_t Domains, base::time_point Now) const;
+  void receive(const promotion_vote &Vote, base::time_point Now);
+  /// Whether enough hosts miss the primary of \p Term.
+  [[nodiscard]] bool isAgreed(groups::term_number Term, const fleet_size &Size,
+                              base::time_point Now) const;
 
 private:
-  struct vote {
-    base::row_version Version = 0;
-    base::time_point SeenAt;
-    groups::term_number Term = 0;
-    std::string Domain;
+  struct counted_vote {
+    promotion_vote Vote;
+    base::time_point CountsUntil;
   };
 
-  base::group_id Group;
-  engine_options Options;
-  std::map<std::string, vote> Votes;
+  base::duration Lifetime;
+  std::map<base::host_id, counted_vote> Votes;
 };
 
 } // namespace radishrelay::sessions::detail
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -14,10 +14,12 @@
 /// After the first start the table is read again soon, since all hosts start
 /// together.
 constexpr base::duration EarlyInterval = std::chrono::milliseconds(1500);
-/// Hosts ask one lender after another; a promotion is left to the first hosts
-/// in the group's order.
-constexpr base::duration PromotionStagger = std::chrono::milliseconds(150);
-constexpr std::size_t LargestStagger = 6;
+/// Hosts that may promote in a group. Enough that some are left when a failure
+/// domain is cut off and half of the hosts are down.
+constexpr std::size_t MaxPromoters = 8;
+/// Time that a promoter leaves to those before it in the group's order: a claim
+/// on a slow store.
+constexpr base::duration PromotionStagger = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -45,12 +47,22 @@
     if (Name != Options.Host.str())
       Names.push_back(Name);
   }
+  fleet_size Result;
+  Result.Hosts = size();
+  Result.Domains = Domains.size();
+  Result.IsPromoter = false;
   std::vector<std::string> Order = base::rendezvousOrder(Group.str(), Names);
-  auto Position = std::ranges::find(Order, Options.Host.str());
-  auto Rank = std::min(static_cast<std::size_t>(Position - Order.begin()),
-                       LargestStagger);
-  return {size(), Domains.size(),
-          PromotionStagger * static_cast<std::int64_t>(Rank)};
+  Order.resize(std::min(Order.size(), MaxPromoters));
+  for (std::size_t Rank = 0; Rank < Order.size(); ++Rank) {
+    if (Order[Rank] == Options.Host.str()) {
+      Result.IsPromoter = true;
+      Result.PromotionDelay =
+          PromotionStagger * static_cast<std::int64_t>(Rank);
+    } else {
+      Result.Promoters.push_back(Members.at(Order[Rank]).Address);
+    }
+  }
+  return Result;
 }
 
 void fleet_members::advance(base::time_point Now) {
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -9,6 +9,8 @@
 /// After a session's last need of a proof, probes go on for so long, so that a
 /// lost primary is replaced before the next session comes.
 constexpr base::duration DemandLifetime = std::chrono::seconds(3);
+/// An instance that answered a status call so recently can be fenced.
+constexpr base::duration ReachedLifetime = std::chrono::milliseconds(1000);
 /// A proof is renewed this long before it runs out.
 constexpr base::duration RenewalTime = std::chrono::milliseconds(350);
 /// Other hosts of the failure domain answer within one round trip, below 1 ms.
@@ -26,7 +28,7 @@
                                    fleet_members &Fleet, event_log &Log)
     : Group(std::move(Group)), Options(Options), Pool(Pool), Store(Store),
       Fleet(Fleet), Log(Log), Leadership(Options.LeaseDuration),
-      Promotion(this->Group, Options), Votes(this->Group, Options) {}
+      Promotion(this->Group, Options), Votes(Options.VoteLifetime) {}
 
 void group_supervisor::setListings(
     const std::map<base::instance_id, instance_listing> &List,
@@ -239,30 +241,42 @@
          Member->second.Listing.Draining;
 }
 
+bool group_supervisor::canFence(base::time_point Now) const {
+  // A host that does not reach enough instances would hold the claim in vain.
+  std::size_t Reached = 0;
+  for (const auto &[Instance, Dated] : Leadership.conditions())
+    if (Now <= Dated.SentAt + ReachedLifetime)
+      ++Reached;
+  return Reached + 1 >= Members.size();
+}
+
 void group_supervisor::considerPromotion(base::time_point Now) {
   if (!Promotion.isIdle())
     return;
-  if (isPrimaryLeaving()) {
-    if (!ReplaceSince)
-      ReplaceSince = Now;
-    if (Now >= *ReplaceSince + Size.PromotionDelay)
-      startPromotion(Now, "primary is leaving");
-    return;
-  }
-  if (!isSuspected(Now)) {
+  bool IsLeaving = isPrimaryLeaving();
+  if (!IsLeaving && !isSuspected(Now)) {
     ReplaceSince.reset();
-    withdrawVote();
+    HasVoted = false;
     return;
   }
-  if (Now >= NextVoteAt)
+  if (!IsLeaving && Now >= NextVoteAt)
     castVote(Now);
-  groups::term_number Term = Leadership.highestTerm();
-  if (!Votes.isAgreed(Term, Size.Hosts, Size.Domains, Now))
+  bool IsDue = IsLeaving || Votes.isAgreed(Leadership.highestTerm(), Size, Now);
+  if (!IsDue || !Size.IsPromoter)
     return;
   if (!ReplaceSince)
     ReplaceSince = Now;
-  if (Now >= *ReplaceSince + Size.PromotionDelay)
-    startPromotion(Now, "primary is lost");
+  if (Now < *ReplaceSince + Size.PromotionDelay)
+    return;
+  if (!canFence(Now))
+    startProbeIfDue(Now);
+  else
+    startPromotion(Now, IsLeaving ? "primary is leaving" : "primary is lost");
+}
+
+void group_supervisor::startProbeIfDue(base::time_point Now) {
+  if (!IsProbing && Now >= NextProbeAt)
+    startProbe(Now);
 }
 
 void group_supervisor::castVote(base::time_point Now) {
@@ -275,26 +289,11 @@
     Log.belief("vote for a promotion", Fields);
   }
   HasVoted = true;
-  base::store_transaction Transaction;
-  Transaction.Writes.push_back(
-      {Votes.ownKey(), Votes.ownVote(Leadership.highestTerm())});
-  Store.execute(Transaction, [this](const base::store_answer &, auto) {
-    Store.execute(base::read_table{Votes.ownKey().Table},
-                  [this](const base::store_answer &Answer, auto At) {
-                    if (Answer.Outcome == base::store_outcome::Done)
-                      Votes.read(Answer.Rows, At);
-                  });
-  });
-}
-
-void group_supervisor::withdrawVote() {
-  if (!HasVoted)
-    return;
-  HasVoted = false;
-  base::store_transaction Transaction;
-  Transaction.Writes.push_back({Votes.ownKey(), nullptr});
-  // A vote that stays lapses by itself.
-  Store.execute(Transaction, [](const base::store_answer &, auto) {});
+  promotion_vote Vote{Group, Leadership.highestTerm(), Options.Host,
+                      Options.Domain};
+  Votes.receive(Vote, Now);
+  for (const std::string &Promoter : Size.Promoters)
+    Fleet.send(Vote, Promoter);
 }
 
 void group_supervisor::startPromotion(base::time_point Now,
--- a/packages/sessions/src/peer_message.cpp
+++ b/packages/sessions/src/peer_message.cpp
@@ -13,6 +13,7 @@
 constexpr int TokenGiftKind = 2;
 constexpr int ProofWishKind = 3;
 constexpr int ProofOfferKind = 4;
+constexpr int VoteKind = 5;
 
 struct packer {
   const std::string &ReplyTo;
@@ -43,8 +44,19 @@
     }
     return Result;
   }
+  json operator()(const promotion_vote &Vote) const {
+    return json::array({VoteKind, ReplyTo, Vote.Group.str(), Vote.Term,
+                        Vote.Host.str(), Vote.Domain.str()});
+  }
 };
 
+promotion_vote unpackVote(const json &Packed) {
+  return {base::group_id(Packed.at(2).get<std::string>()),
+          Packed.at(3).get<groups::term_number>(),
+          base::host_id(Packed.at(4).get<std::string>()),
+          base::failure_domain_id(Packed.at(5).get<std::string>())};
+}
+
 accounts::token_transfer unpackTokens(const json &Packed) {
   return {base::account_id(Packed.at(2).get<std::string>()),
           Packed.at(3).get<std::int64_t>()};
@@ -94,6 +106,8 @@
                      base::fromMicroseconds(Packed.at(3).get<std::int64_t>())}};
     case ProofOfferKind:
       return peer_datagram{ReplyTo, unpackOffer(Packed)};
+    case VoteKind:
+      return peer_datagram{ReplyTo, unpackVote(Packed)};
     default:
       return std::nullopt;
     }
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -52,6 +52,7 @@
       Log.belief("instance listed",
                  {{"instance", Instance.str()},
                   {"group", Listing.Group.str()},
+                  {"domain", Listing.Domain.str()},
                   {"draining", Listing.Draining},
                   {"primary", Listing.Role == groups::instance_role::Primary}});
     }
@@ -184,6 +185,10 @@
     supervisor *Group = groupOf(Ask->Group);
     if (auto Offer = Group ? Group->offer(*Ask, Now) : std::nullopt)
       Members.send(*Offer, Datagram->ReplyTo);
+  } else if (const auto *Vote =
+                 std::get_if<detail::promotion_vote>(&Datagram->Message)) {
+    if (supervisor *Group = groupOf(Vote->Group))
+      Group->receive(*Vote, Now);
   } else {
     const auto &Offer = std::get<detail::proof_offer>(Datagram->Message);
     supervisor *Group = groupOf(Offer.Group);
@@ -268,6 +273,12 @@
     base::instance_id Instance = Connection->Instance;
     base::group_id Group = Connection->Group;
     std::optional<session_number> Owner = Connection->Session;
+    if (Log.wantsDecision(true))
+      Log.decision(
+          "backend connection overdue",
+          {{"instance", Instance.str()},
+           {"opening", Connection->Use == detail::connection_use::Opening},
+           {"for_session", Owner.has_value()}});
     Pool.discard(Number);
     if (supervisor *Supervisor = groupOf(Group))
       Supervisor->noteFailure(Instance, Now);
--- a/packages/sessions/src/session_replies.cpp
+++ b/packages/sessions/src/session_replies.cpp
@@ -58,6 +58,11 @@
   supervisor *Group = groupOf(Connection->Group);
   Pool.discard(Number);
   ShouldServeWaiting = true;
+  if (!WasIdle && Log.wantsDecision(true))
+    Log.decision("backend connection lost",
+                 {{"instance", Instance.str()},
+                  {"opening", WasOpening},
+                  {"reason", Reason ? refusalName(*Reason) : "ended"}});
   if (WasOpening && !Reason)
     Pool.noteLimitReached(Instance, Now);
   if (Reason)
@@ -139,6 +144,11 @@
                                     base::time_point Now) {
   base::instance_id Instance = Connection.Instance;
   supervisor *Group = groupOf(Connection.Group);
+  if (!Reply.Condition && Log.wantsDecision(true))
+    Log.decision("call to instance failed",
+                 {{"instance", Instance.str()},
+                  {"error", refusalName(Reply.Error.value_or(refusal::Other))},
+                  {"detail", Reply.ErrorText}});
   Pool.release(Connection, Now);
   ShouldServeWaiting = true;
   auto View = Instances.find(Instance);
