Shorten the failover; let no order follow a newer claim

The lease is 700 ms, a silent primary is voted on after 300 ms, and one that answers statements is not taken for lost.

--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -41,12 +41,19 @@
   usablePrimary(base::time_point Now) const;
   /// Whether a new primary is expected within PromotionPatience.
   [[nodiscard]] bool isPromotionOrdered() const;
-  /// The primary cannot be reached, as far as probes tell.
-  [[nodiscard]] bool isPrimaryLost() const { return FailedProbes >= 2; }
+  /// The primary answers nothing, neither probes nor statements.
+  [[nodiscard]] bool isPrimaryLost() const {
+    return FailedProbes >= 2 && PrimaryAnsweredAt < FirstFailureAt;
+  }
 
   /// A session needs a proved primary.
   void wantProof(base::time_point Now);
   void noteFailure(const base::instance_id &Instance, base::time_point Now);
+  /// An instance answered anything.
+  void noteAnswer(const base::instance_id &Instance, base::time_point Now) {
+    if (Leadership.primary() == Instance)
+      PrimaryAnsweredAt = Now;
+  }
   void noteWriteTimeout(const base::instance_id &Instance,
                         base::time_point Now);
   void noteCommit(const base::instance_id &Instance,
@@ -119,6 +126,7 @@
   base::time_point NextProbeAt;
   std::uint32_t FailedProbes = 0;
   base::time_point FirstFailureAt;
+  base::time_point PrimaryAnsweredAt;
   std::uint32_t WriteTimeouts = 0;
   base::time_point FirstWriteTimeoutAt;
   /// When the primary was first seen leaving, or votes agreed.
--- a/packages/sessions/include/radishrelay/sessions/engine_options.h
+++ b/packages/sessions/include/radishrelay/sessions/engine_options.h
@@ -22,10 +22,10 @@
   /// How long after its proof a primary may be read from. A promotion waits as
   /// long after the fence, so the write gap of a failover grows with it, and
   /// the rate of proofs falls with it.
-  base::duration LeaseDuration = std::chrono::milliseconds(1000);
+  base::duration LeaseDuration = std::chrono::milliseconds(700);
   /// Added by the promoter, for clocks that run at different speeds: 5% of the
   /// lease.
-  base::duration LeaseMargin = std::chrono::milliseconds(50);
+  base::duration LeaseMargin = std::chrono::milliseconds(35);
 
   /// A connection that takes longer to open counts as failed: twenty times the
   /// 12 ms that an idle instance takes.
@@ -45,9 +45,9 @@
   /// order of a promotion and its effect.
   base::duration PromotionPatience = std::chrono::milliseconds(500);
 
-  /// How long a lost primary is tolerated before hosts vote for a promotion;
-  /// longer than a pause of one overloaded instance.
-  base::duration SuspicionDelay = std::chrono::milliseconds(500);
+  /// How long a primary may answer nothing before hosts vote for a promotion:
+  /// twice the time in which a full queue of an instance is served.
+  base::duration SuspicionDelay = std::chrono::milliseconds(300);
   /// How long a vote counts.
   base::duration VoteLifetime = std::chrono::milliseconds(2500);
   base::duration VoteInterval = std::chrono::milliseconds(400);
--- a/packages/sessions/include/radishrelay/sessions/promotion.h
+++ b/packages/sessions/include/radishrelay/sessions/promotion.h
@@ -126,6 +126,8 @@
               promotion_actions &Actions);
   void onClaimed(const base::store_answer &Answer, base::time_point Now,
                  promotion_actions &Actions);
+  void writeClaim(base::row_version Version, bool IsDone,
+                  promotion_actions &Actions) const;
   void beginFencing(base::time_point Now, promotion_actions &Actions);
   void sendFences(promotion_actions &Actions) const;
   void beginVerifying(base::time_point Now, promotion_actions &Actions);
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -62,7 +62,8 @@
 
 std::optional<base::instance_id>
 group_supervisor::usablePrimary(base::time_point Now) const {
-  if (FailedProbes > 0 || !Leadership.isProved(Now))
+  bool IsSilent = FailedProbes > 0 && PrimaryAnsweredAt < FirstFailureAt;
+  if (IsSilent || !Leadership.isProved(Now))
     return std::nullopt;
   return Leadership.primary();
 }
@@ -228,7 +229,8 @@
 
 bool group_supervisor::isSuspected(base::time_point Now) const {
   bool IsLost =
-      FailedProbes >= 2 && Now >= FirstFailureAt + Options.SuspicionDelay;
+      FailedProbes >= 2 && Now >= std::max(FirstFailureAt, PrimaryAnsweredAt) +
+                                      Options.SuspicionDelay;
   bool AreWritesLost = WriteTimeouts >= WriteTimeoutsToSuspect;
   return IsLost || AreWritesLost;
 }
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -108,25 +108,32 @@
     SeenVersion = Version;
     SeenAt = Now;
   }
-  bool IsOthersActive =
-      Row && Row->Value.value("holder", "") != self() &&
-      Now < SeenAt + ClaimPeriod &&
-      Row->Value.value("term", groups::term_number{0}) >= Request.Term;
+  // Also a claim on an older term: its owner may still repeat an order, and a
+  // lower generation may not follow a higher one.
+  bool IsOthersActive = Row && Row->Value.value("holder", "") != self() &&
+                        Now < SeenAt + ClaimPeriod &&
+                        !Row->Value.value("done", false);
   if (IsOthersActive) {
     giveUp(Now, Actions);
     return;
   }
   Operation = std::to_string(Random());
+  enter(promotion_stage::Claiming, Now + StoreTimeout);
+  IsCallOpen = true;
+  AttemptDeadline = Now + OrderPeriod;
+  writeClaim(Version, false, Actions);
+}
+
+void promotion::writeClaim(base::row_version Version, bool IsDone,
+                           promotion_actions &Actions) const {
   base::json Value = base::json::object();
   Value["holder"] = self();
   Value["operation"] = Operation;
   Value["term"] = Request.Term;
+  Value["done"] = IsDone;
   base::store_transaction Transaction;
   Transaction.Conditions.push_back({claimKey(), Version});
   Transaction.Writes.push_back({claimKey(), std::move(Value)});
-  enter(promotion_stage::Claiming, Now + StoreTimeout);
-  IsCallOpen = true;
-  AttemptDeadline = Now + OrderPeriod;
   Actions.push_back(promotion_store_call{std::move(Transaction)});
 }
 
@@ -248,6 +255,8 @@
   for (const promotion_member &Member : Request.Members)
     if (Member.Instance != Candidate)
       Actions.push_back(promotion_unfence{Member.Instance});
+  // Others need not wait until the claim lapses.
+  writeClaim(Generation, true, Actions);
   NotBefore = Now + RetryPause;
   enter(promotion_stage::Idle, NotBefore);
 }
--- a/packages/sessions/src/session_replies.cpp
+++ b/packages/sessions/src/session_replies.cpp
@@ -154,6 +154,8 @@
   auto View = Instances.find(Instance);
   if (View != Instances.end() && Reply.Condition)
     View->second.Seen = std::max(View->second.Seen, Reply.Condition->Received);
+  if (Group)
+    Group->noteAnswer(Instance, Now);
   if (Group && Reply.Condition)
     Group->callAnswered(Instance, *Reply.Condition, SentAt, Now);
 }
@@ -194,6 +196,7 @@
   supervisor *Group = groupOf(Connection.Group);
   if (View == Instances.end() || !Group)
     return;
+  Group->noteAnswer(Connection.Instance, Now);
   if (Reply.Error) {
     noteRefusal(Connection.Instance, *Reply.Error, Now);
     return;
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -55,7 +55,7 @@
       FencedAt = Fleet.now();
   }
   BOOST_REQUIRE(FencedAt.has_value());
-  BOOST_TEST(((Fleet.now() - *FencedAt) >= 1000ms));
+  BOOST_TEST(((Fleet.now() - *FencedAt) >= engine_options{}.LeaseDuration));
 }
 
 BOOST_AUTO_TEST_CASE(is_not_promoted_while_a_needed_replica_is_dark_too) {
--- a/packages/sessions/tests/promotion_test.cpp
+++ b/packages/sessions/tests/promotion_test.cpp
@@ -101,6 +101,28 @@
   BOOST_TEST((Promotion.stage() == promotion_stage::Claiming));
 }
 
+BOOST_FIXTURE_TEST_CASE(respects_a_claim_on_an_older_term_too, fixture) {
+  base::store_answer Others = done(7);
+  Others.Rows.push_back(
+      {{"promotions", "g"},
+       7,
+       {{"holder", "h2/1"}, {"operation", "9"}, {"term", 0}}});
+  start();
+  Promotion.storeAnswered(Others, Now, Actions);
+  BOOST_TEST(Promotion.isIdle());
+}
+
+BOOST_FIXTURE_TEST_CASE(does_not_wait_for_a_claim_that_is_done, fixture) {
+  base::store_answer Others = done(7);
+  Others.Rows.push_back(
+      {{"promotions", "g"},
+       7,
+       {{"holder", "h2/1"}, {"operation", "9"}, {"term", 0}, {"done", true}}});
+  start();
+  Promotion.storeAnswered(Others, Now, Actions);
+  BOOST_TEST((Promotion.stage() == promotion_stage::Claiming));
+}
+
 BOOST_FIXTURE_TEST_CASE(reads_back_a_claim_whose_answer_was_lost, fixture) {
   start();
   Promotion.storeAnswered(done(0), Now, Actions);
