Keep the duty of a promotion with one host for 3 s

A claim marked done let the next host claim at once, and a host that looked late took a leaving primary, already replaced, for one to be replaced. A done claim now counts for 2.5 s, and a leaving primary is replaced only after it has said that it leads in the newest term. Ruled out: generations out of sequence (216, 220, 227). Also: status calls open no connection beyond the limit of a busy instance, single writes need no proof, recently used connections are kept.

--- a/packages/sessions/include/radishrelay/sessions/detail/backend_pool.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/backend_pool.h
@@ -29,8 +29,7 @@
 /// This host's connections to all instances.
 ///
 /// Each host may hold an equal part of an instance's connections, so that the
-/// limit holds without coordination; up to twice that while the instance has
-/// room, since load is uneven.
+/// limit holds without coordination, and one more while the instance has room.
 class backend_pool {
 public:
   backend_pool(const engine_options &Options, backend_port &Port);
@@ -88,12 +87,21 @@
     base::time_point LimitedUntil;
   };
 
+  struct part_of_limit {
+    std::size_t Part = 0;
+    /// Whether idle connections may be kept.
+    bool AreKept = true;
+  };
+
   backend_connection &open(instance_state &State,
                            const base::account_id &Account,
                            base::time_point Now);
   backend_connection *idleFor(const instance_state &State,
                               const base::account_id &Account,
                               const std::map<std::string, std::string> *Values);
+  /// Closes an idle connection if a new one would exceed the limit; false when
+  /// none may be opened.
+  bool makeRoom(instance_state &State, base::time_point Now);
   [[nodiscard]] backend_connection *oldestIdle(const instance_state &State);
   [[nodiscard]] std::size_t softLimit(const base::group_id &Group) const;
   [[nodiscard]] std::size_t hardLimit(const instance_state &State) const;
@@ -101,7 +109,7 @@
   engine_options Options;
   backend_port &Port;
   std::map<base::instance_id, instance_state> Instances;
-  std::map<base::group_id, std::size_t> Limits;
+  std::map<base::group_id, part_of_limit> Limits;
   std::map<backend_number, backend_connection> Connections;
   std::uint64_t LastNumber = 0;
   request_counts Requests{};
--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -39,6 +39,9 @@
   /// The primary, if it may be used now.
   [[nodiscard]] std::optional<base::instance_id>
   usablePrimary(base::time_point Now) const;
+  /// The latest primary, also without a proof: for writes whose acknowledgement
+  /// depends on a replica.
+  [[nodiscard]] std::optional<base::instance_id> primaryForWrites() const;
   /// Whether a new primary is expected within PromotionPatience.
   [[nodiscard]] bool isPromotionOrdered() const;
   /// The primary answers nothing, neither probes nor statements.
@@ -96,6 +99,8 @@
   void considerPromotion(base::time_point Now);
   void castVote(base::time_point Now);
   [[nodiscard]] bool canFence(base::time_point Now) const;
+  /// The primary has just said that it leads in the newest term.
+  [[nodiscard]] bool doesPrimaryLead(base::time_point Now) const;
   void startPromotion(base::time_point Now, std::string_view Reason);
   void perform(const promotion_actions &Actions, base::time_point Now);
   void updateMembers();
--- a/packages/sessions/include/radishrelay/sessions/promotion.h
+++ b/packages/sessions/include/radishrelay/sessions/promotion.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -58,9 +59,13 @@
 struct promotion_status {
   base::instance_id Instance;
 };
+/// Tells why an attempt has ended without a promotion.
+struct promotion_abandoned {
+  std::string Reason;
+};
 using promotion_action =
     std::variant<promotion_store_call, promotion_fence, promotion_unfence,
-                 promotion_order, promotion_status>;
+                 promotion_order, promotion_status, promotion_abandoned>;
 using promotion_actions = std::vector<promotion_action>;
 
 /// An instance that may take part in a promotion.
@@ -120,7 +125,8 @@
 
 private:
   void enter(promotion_stage Next, base::time_point Due);
-  void giveUp(base::time_point Now, promotion_actions &Actions);
+  void giveUp(std::string_view Reason, base::time_point Now,
+              promotion_actions &Actions);
   void readClaim(base::time_point Now, promotion_actions &Actions);
   void onRead(const base::store_answer &Answer, base::time_point Now,
               promotion_actions &Actions);
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -135,6 +135,7 @@
   void sendStatement(session &Session, connection &Connection,
                      base::time_point Now);
   void serveWaiting(base::time_point Now);
+  [[nodiscard]] bool hasIdleMatch(const session &Session) const;
   void setWake(session &Session, base::time_point At);
   void operationDue(session &Session, base::time_point Now);
 
--- a/packages/sessions/src/backend_pool.cpp
+++ b/packages/sessions/src/backend_pool.cpp
@@ -6,10 +6,15 @@
 
 namespace {
 
-/// Connections that each host may hold whatever its part is, so that each
-/// instance can be used and asked for its status.
+/// Connections that each host may open whatever its part is, so that each
+/// instance can be used and asked for its status. With so many hosts that this
+/// exceeds the limit, connections are opened for use and not kept.
 constexpr std::size_t SmallestPart = 2;
+constexpr base::duration IdleWithoutPart = std::chrono::milliseconds(150);
 constexpr std::size_t PartWithoutLimit = 16;
+/// Connections above this host's part while the instance has room: load differs
+/// between hosts, and few hosts need them at a time.
+constexpr std::size_t ExtraConnections = 1;
 /// How long an instance that has rejected a connection gets no more than this
 /// host's part.
 constexpr base::duration LimitPause = std::chrono::seconds(2);
@@ -52,17 +57,18 @@
   double Usable =
       static_cast<double>(Limit) * (1.0 - Options.ConnectionReserve);
   double Part = Usable / static_cast<double>(std::max<std::size_t>(1, Hosts));
-  Limits[Group] = std::max(SmallestPart, static_cast<std::size_t>(Part));
+  auto Whole = static_cast<std::size_t>(Part);
+  Limits[Group] = {std::max(SmallestPart, Whole), Whole >= SmallestPart};
 }
 
 std::size_t backend_pool::softLimit(const base::group_id &Group) const {
   auto Entry = Limits.find(Group);
-  return Entry == Limits.end() ? PartWithoutLimit : Entry->second;
+  return Entry == Limits.end() ? PartWithoutLimit : Entry->second.Part;
 }
 
 std::size_t backend_pool::hardLimit(const instance_state &State) const {
   std::size_t Part = softLimit(State.Listing.Group);
-  return Latest < State.LimitedUntil ? Part : 2 * Part;
+  return Latest < State.LimitedUntil ? Part : Part + ExtraConnections;
 }
 
 backend_connection *
@@ -136,6 +142,21 @@
   return Connection;
 }
 
+bool backend_pool::makeRoom(instance_state &State, base::time_point Now) {
+  std::size_t Count = State.Connections.size();
+  if (Count < softLimit(State.Listing.Group))
+    return true;
+  backend_connection *Oldest = oldestIdle(State);
+  bool IsAtLimit = Count >= hardLimit(State);
+  // A connection that was used recently is worth more than the room it takes:
+  // opening another costs the instance as much as a statement.
+  bool IsReplaceable =
+      Oldest && (IsAtLimit || Now >= Oldest->IdleSince + IdleAbovePart);
+  if (IsReplaceable)
+    discard(Oldest->Number);
+  return IsReplaceable || !IsAtLimit;
+}
+
 backend_connection *
 backend_pool::acquire(const base::instance_id &Instance,
                       const base::account_id &Account, session_number Session,
@@ -151,13 +172,8 @@
     Idle->Session = Session;
     return Idle;
   }
-  // Above this host's part only busy connections are worth keeping.
-  if (State.Connections.size() >= softLimit(State.Listing.Group)) {
-    if (backend_connection *Other = oldestIdle(State))
-      discard(Other->Number);
-    else if (State.Connections.size() >= hardLimit(State))
-      return nullptr;
-  }
+  if (!makeRoom(State, Now))
+    return nullptr;
   backend_connection &Opened = open(State, Account, Now);
   Opened.Session = Session;
   return &Opened;
@@ -200,6 +216,12 @@
   if (Entry == Instances.end())
     return;
   backend_connection *Connection = oldestIdle(Entry->second);
+  // On a busy instance commits prove the primary; a status call is not worth
+  // a connection beyond the limit, a promotion is.
+  bool IsStatus = Request.Verb == backend_verb::Status;
+  bool IsFull = Entry->second.Connections.size() >= hardLimit(Entry->second);
+  if (!Connection && IsStatus && IsFull)
+    return;
   if (!Connection) {
     backend_connection &Opened = open(Entry->second, Account, Now);
     Opened.FirstCall = Request;
@@ -247,12 +269,16 @@
 void backend_pool::trim(base::time_point Now) {
   Latest = Now;
   for (auto &[Instance, State] : Instances) {
-    std::size_t Part = softLimit(State.Listing.Group);
-    if (State.Connections.size() <= Part)
-      continue;
-    backend_connection *Idle = oldestIdle(State);
-    if (Idle && Now >= Idle->IdleSince + IdleAbovePart)
+    auto Limit = Limits.find(State.Listing.Group);
+    bool AreKept = Limit == Limits.end() || Limit->second.AreKept;
+    std::size_t Kept = AreKept ? softLimit(State.Listing.Group) : 0;
+    base::duration Lifetime = AreKept ? IdleAbovePart : IdleWithoutPart;
+    while (State.Connections.size() > Kept) {
+      backend_connection *Idle = oldestIdle(State);
+      if (!Idle || Now < Idle->IdleSince + Lifetime)
+        break;
       discard(Idle->Number);
+    }
   }
 }
 
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -68,6 +68,13 @@
   return Leadership.primary();
 }
 
+std::optional<base::instance_id> group_supervisor::primaryForWrites() const {
+  bool IsSilent = FailedProbes > 0 && PrimaryAnsweredAt < FirstFailureAt;
+  if (IsSilent || Settings.SyncReplicas == 0 || !Promotion.isIdle())
+    return std::nullopt;
+  return Leadership.primary();
+}
+
 bool group_supervisor::isPromotionOrdered() const {
   return Promotion.isOrdered();
 }
@@ -252,6 +259,14 @@
   return Reached + 1 >= Members.size();
 }
 
+bool group_supervisor::doesPrimaryLead(base::time_point Now) const {
+  auto Dated = Leadership.conditions().find(*Leadership.primary());
+  return Dated != Leadership.conditions().end() &&
+         Now <= Dated->second.SentAt + ReachedLifetime &&
+         Dated->second.Condition.Role == groups::instance_role::Primary &&
+         Dated->second.Condition.Term == Leadership.highestTerm();
+}
+
 void group_supervisor::considerPromotion(base::time_point Now) {
   if (!Promotion.isIdle())
     return;
@@ -270,7 +285,9 @@
     ReplaceSince = Now;
   if (Now < *ReplaceSince + Size.PromotionDelay)
     return;
-  if (!canFence(Now))
+  // A leaving primary that was already replaced is not replaced again.
+  bool IsViewFresh = canFence(Now) && (!IsLeaving || doesPrimaryLead(Now));
+  if (!IsViewFresh)
     startProbeIfDue(Now);
   else
     startPromotion(Now, IsLeaving ? "primary is leaving" : "primary is lost");
@@ -331,6 +348,13 @@
                     });
       continue;
     }
+    if (const auto *End = std::get_if<promotion_abandoned>(&Action)) {
+      base::json Fields = Promotion.dump();
+      Fields["group"] = Group.str();
+      Fields["reason"] = End->Reason;
+      Log.belief("promotion given up", Fields);
+      continue;
+    }
     if (const auto *Order = std::get_if<promotion_order>(&Action)) {
       base::json Fields = Promotion.dump();
       Fields["group"] = Group.str();
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -9,6 +9,10 @@
 /// A claim counts for so long after it was first seen; the owner orders
 /// nothing after OrderPeriod.
 constexpr base::duration ClaimPeriod = std::chrono::milliseconds(4500);
+/// After a promotion the duty stays with its host for 3 s: the platform takes
+/// two hosts that act in turn within that time for two holders. The fence and
+/// the wait for leases make up the rest.
+constexpr base::duration TurnPeriod = std::chrono::milliseconds(2500);
 /// Leaves room for a call to the platform in flight.
 constexpr base::duration OrderPeriod = std::chrono::milliseconds(3500);
 /// Answer time of the store that is waited for.
@@ -59,7 +63,9 @@
   readClaim(Now, Actions);
 }
 
-void promotion::giveUp(base::time_point Now, promotion_actions &Actions) {
+void promotion::giveUp(std::string_view Reason, base::time_point Now,
+                       promotion_actions &Actions) {
+  Actions.push_back(promotion_abandoned{std::string(Reason)});
   for (const auto &[Instance, Condition] : Fenced)
     if (Condition.Role == groups::instance_role::Replica &&
         Stage < promotion_stage::Ordering)
@@ -91,7 +97,7 @@
 void promotion::onRead(const base::store_answer &Answer, base::time_point Now,
                        promotion_actions &Actions) {
   if (Answer.Outcome != base::store_outcome::Done) {
-    giveUp(Now, Actions);
+    giveUp("the claim cannot be read", Now, Actions);
     return;
   }
   const base::table_row *Row =
@@ -110,11 +116,11 @@
   }
   // Also a claim on an older term: its owner may still repeat an order, and a
   // lower generation may not follow a higher one.
+  bool IsDone = Row && Row->Value.value("done", false);
   bool IsOthersActive = Row && Row->Value.value("holder", "") != self() &&
-                        Now < SeenAt + ClaimPeriod &&
-                        !Row->Value.value("done", false);
+                        Now < SeenAt + (IsDone ? TurnPeriod : ClaimPeriod);
   if (IsOthersActive) {
-    giveUp(Now, Actions);
+    giveUp("another host holds the claim", Now, Actions);
     return;
   }
   Operation = std::to_string(Random());
@@ -143,7 +149,7 @@
     Generation = Answer.Version;
     beginFencing(Now, Actions);
   } else if (Answer.Outcome == base::store_outcome::NotDone) {
-    giveUp(Now, Actions);
+    giveUp("the claim was rejected", Now, Actions);
   } else {
     // After a lost answer or a conflict the row tells whose claim it is.
     readClaim(Now, Actions);
@@ -191,7 +197,8 @@
   if (Stage < promotion_stage::Fencing || Stage > promotion_stage::Verifying)
     return;
   if (Condition.Term > Request.Term)
-    giveUp(Now, Actions); // another promotion took effect
+    giveUp("another promotion took effect", Now,
+           Actions); // another promotion took effect
   else if (Stage == promotion_stage::Verifying)
     onVerified(Instance, Condition, Now, Actions);
   else
@@ -307,14 +314,14 @@
     return;
   if (Now >= AttemptDeadline && Stage > promotion_stage::Claiming &&
       Stage < promotion_stage::Confirming) {
-    giveUp(Now, Actions);
+    giveUp("the claim runs out", Now, Actions);
     return;
   }
   switch (Stage) {
   case promotion_stage::Idle:
     return;
   case promotion_stage::Reading:
-    giveUp(Now, Actions);
+    giveUp("the store did not answer", Now, Actions);
     return;
   case promotion_stage::Claiming:
     readClaim(Now, Actions);
@@ -342,7 +349,7 @@
     return;
   case promotion_stage::Confirming:
     if (Now >= AttemptDeadline) {
-      giveUp(Now, Actions);
+      giveUp("the new primary does not lead", Now, Actions);
       return;
     }
     DueAt = Now + CallInterval;
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -8,7 +8,7 @@
 
 /// Period of the work that needs no exact time: idle transactions and
 /// connections.
-constexpr base::duration TrimInterval = std::chrono::milliseconds(250);
+constexpr base::duration TrimInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
--- a/packages/sessions/src/session_routing.cpp
+++ b/packages/sessions/src/session_routing.cpp
@@ -22,6 +22,8 @@
 constexpr int TokenWaitDivisor = 4;
 /// Time in which a loan of tokens arrives from another host.
 constexpr base::duration LoanWait = std::chrono::milliseconds(25);
+/// How long a waiting operation leaves connections of other accounts alone.
+constexpr base::duration MatchPatience = std::chrono::milliseconds(40);
 /// Shortest time in which a waiting operation looks again.
 constexpr base::duration Recheck = std::chrono::milliseconds(20);
 /// Part of the statement's time-out after which a read is tried elsewhere.
@@ -141,6 +143,12 @@
   }
   Group->wantProof(Now);
   std::optional<base::instance_id> Primary = Group->usablePrimary(Now);
+  // A primary that was replaced acknowledges no write, so a single write needs
+  // no proof; its acknowledgement is one.
+  bool IsSingleWrite =
+      Operation.IsWrite && Session.Phase == session_phase::Idle;
+  if (!Primary && IsSingleWrite)
+    Primary = Group->primaryForWrites();
   auto View = Primary ? Instances.find(*Primary) : Instances.end();
   bool IsUsable = View != Instances.end() &&
                   (!View->second.Listing.Draining ||
@@ -351,12 +359,29 @@
   std::vector<session_number> Numbers;
   for (const auto &[Priority, ReceivedAt, Number] : Waiting)
     Numbers.push_back(Number);
-  for (session_number Number : Numbers) {
-    auto Entry = Sessions.find(Number);
-    if (Entry != Sessions.end() && Entry->second.Current &&
-        Entry->second.Current->Stage == stage::AwaitingInstance)
+  // An idle connection serves a waiting session of its own account first:
+  // replacing it would cost the instance as much as a statement. Others get
+  // their turn once they have waited.
+  for (bool IsMatchOnly : {true, false})
+    for (session_number Number : Numbers) {
+      auto Entry = Sessions.find(Number);
+      if (Entry == Sessions.end() || !Entry->second.Current ||
+          Entry->second.Current->Stage != stage::AwaitingInstance)
+        continue;
+      bool IsPatient = Now < Entry->second.Current->ReceivedAt + MatchPatience;
+      if (IsMatchOnly ? !hasIdleMatch(Entry->second) : IsPatient)
+        continue;
       chooseInstance(Entry->second, Now);
-  }
+    }
+}
+
+bool session_engine::hasIdleMatch(const session &Session) const {
+  auto Group = Groups.find(Session.Route.Group);
+  if (Group == Groups.end())
+    return false;
+  const auto &Primary = Group->second->leadership().primary();
+  return Primary &&
+         Pool.room(*Primary, Session.Account) == detail::pool_room::Idle;
 }
 
 } // namespace radishrelay::sessions
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -89,6 +89,23 @@
   BOOST_TEST(Fleet.ask(Session, "read x").Receipt == "receipt:r1");
 }
 
+BOOST_AUTO_TEST_CASE(is_not_replaced_again_by_a_host_that_looks_late) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  Fleet.run(6000ms);
+  // Another host has promoted r1 before this host sees the listing.
+  Fleet.instance("p").Role = groups::instance_role::Replica;
+  Fleet.instance("r1").Role = groups::instance_role::Primary;
+  Fleet.instance("r1").Log = {2, 101};
+  Fleet.instance("p").Log = {1, 101};
+  Fleet.listings().at(base::instance_id("p")).Draining = true;
+  Fleet.list();
+  Fleet.run(6000ms);
+  BOOST_TEST(Fleet.Orders.empty());
+  BOOST_TEST(Fleet.instance("r2").Fenced == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/sessions/tests/engine_reads_test.cpp
+++ b/packages/sessions/tests/engine_reads_test.cpp
@@ -53,6 +53,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(on_an_overloaded_primary)
+
+BOOST_AUTO_TEST_CASE(gets_its_proof_from_a_write_when_status_calls_are_shed) {
+  written_fleet Fleet;
+  Fleet.run(IdleTime);
+  Fleet.instance("p").ShedsCalls = true;
+  BOOST_TEST(
+      !Fleet.ask(Fleet.connect("primary"), "write x 1").Error.has_value());
+  BOOST_TEST(!Fleet.ask(Fleet.connect("primary"), "read x").Error.has_value());
+  BOOST_TEST(Fleet.Orders.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(that_accepts_data_of_some_age)
 
 BOOST_AUTO_TEST_CASE(runs_on_the_replica_in_the_same_failure_domain) {
--- a/packages/sessions/tests/support/fake_fleet.h
+++ b/packages/sessions/tests/support/fake_fleet.h
@@ -18,6 +18,8 @@
   groups::term_number Fenced = 0;
   /// Answers nothing and opens no connection.
   bool IsDark = false;
+  /// Rejects status calls as busy.
+  bool ShedsCalls = false;
   /// Rejects each request that would run a statement with this.
   std::optional<refusal> Rejects;
 };
