--- a/packages/accounts/src/lending_limiter.cpp
+++ b/packages/accounts/src/lending_limiter.cpp
@@ -1,6 +1,7 @@
 #include "radishrelay/accounts/lending_limiter.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace radishrelay::accounts {
 
@@ -116,7 +117,7 @@
   countDemand(State, Now);
   State.Bucket.refill(Now);
   auto Reserve =
-      static_cast<std::int64_t>(State.DemandRate * ReserveSeconds + 0.5);
+      static_cast<std::int64_t>(std::lround(State.DemandRate * ReserveSeconds));
   std::int64_t Own = State.Bucket.level() / OneToken;
   std::int64_t Amount = std::min({Wish.Tokens, Own - Reserve, Own});
   if (Amount <= 0 || !State.Bucket.take(Amount * OneToken))
--- a/packages/base/include/radishrelay/base/log.h
+++ b/packages/base/include/radishrelay/base/log.h
@@ -13,9 +13,13 @@
 /// Severity of a log event, in rising order.
 enum class log_level { Debug, Info, Warning, Error };
 
-/// Sets up easylogging++ to write JSON lines on standard error. Call once at
-/// the start of a program.
-void configureLog(log_level Lowest);
+/// Where log lines go.
+enum class log_stream { StandardError, StandardOutput };
+
+/// Sets up easylogging++ to write JSON lines. Call once at the start of a
+/// program.
+void configureLog(log_level Lowest,
+                  log_stream Stream = log_stream::StandardError);
 
 /// Parses "debug", "info", "warning" or "error"; anything else gives Info.
 log_level parseLogLevel(std::string_view Name);
@@ -25,8 +29,8 @@
 void logEvent(log_level Level, std::string_view Event,
               const json &Fields = json::object());
 
-/// Starts a thread that writes the log lines, so that a slow reader of standard
-/// error holds up no other thread. When it falls too far behind, lines are
+/// Starts a thread that writes the log lines, so that a slow reader of the
+/// lines holds up no other thread. When it falls too far behind, lines are
 /// dropped, and a line "log lines dropped" tells how many.
 class log_writer {
 public:
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <atomic>
+#include <cstdio>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -37,13 +38,16 @@
   return LevelNames.at(static_cast<std::size_t>(Level));
 }
 
-/// Writes easylogging++ messages to standard error; the library's own
-/// dispatcher writes to standard output.
-class standard_error_dispatch final : public el::LogDispatchCallback {
+std::atomic<std::FILE *> LineStream{stderr};
+
+/// Writes easylogging++ messages as they are, each with one call.
+class line_dispatch final : public el::LogDispatchCallback {
 protected:
   void handle(const el::LogDispatchData *Data) noexcept override {
     std::string Line = Data->logMessage()->message() + "\n";
-    std::fwrite(Line.data(), 1, Line.size(), stderr);
+    std::FILE *Stream = LineStream.load();
+    std::fwrite(Line.data(), 1, Line.size(), Stream);
+    std::fflush(Stream);
   }
 };
 
@@ -56,8 +60,9 @@
   return log_level::Info;
 }
 
-void configureLog(log_level Lowest) {
+void configureLog(log_level Lowest, log_stream Stream) {
   LowestLevel = Lowest;
+  LineStream = Stream == log_stream::StandardOutput ? stdout : stderr;
   el::Configurations Settings;
   Settings.setToDefault();
   Settings.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -66,8 +71,7 @@
   el::Loggers::reconfigureAllLoggers(Settings);
   el::Helpers::uninstallLogDispatchCallback<
       el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
-  el::Helpers::installLogDispatchCallback<standard_error_dispatch>(
-      "standard_error");
+  el::Helpers::installLogDispatchCallback<line_dispatch>("lines");
 }
 
 void logEvent(log_level Level, std::string_view Event, const json &Fields) {
--- a/packages/daemon/main/radishrelayd.cpp
+++ b/packages/daemon/main/radishrelayd.cpp
@@ -70,7 +70,8 @@
 
 /// Serves sessions on the users' platform until it is told to stop.
 int runSessions(const daemon::session_settings &Settings) {
-  base::configureLog(base::parseLogLevel(Settings.LogLevel));
+  base::configureLog(base::parseLogLevel(Settings.LogLevel),
+                     base::log_stream::StandardOutput);
   sigset_t Signals = blockStopSignals();
   sigaddset(&Signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
--- /dev/null
+++ b/packages/daemon/tests/line_stream_test.cpp
@@ -0,0 +1,139 @@
+#include "radishrelay/daemon/line_stream.h"
+
+#include "radishrelay/daemon/status_listener.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+
+namespace radishrelay::daemon::tests {
+
+namespace {
+
+/// A pair of connected sockets on a free port of the loopback interface.
+struct connected_pair {
+  connected_pair() : Server(Poco::Net::SocketAddress("127.0.0.1", 0)) {
+    Peer.connect(Server.address());
+    Accepted = acceptFrom(Server.impl()->sockfd());
+  }
+
+  Poco::Net::ServerSocket Server;
+  Poco::Net::StreamSocket Peer;
+  int Accepted = -1;
+};
+
+/// Turns the loop until \p IsDone; bounded, so that a fault ends the test.
+template <typename Condition>
+void turnUntil(event_loop &Loop, Condition IsDone) {
+  constexpr int MaxRounds = 2000;
+  for (int Round = 0; Round < MaxRounds && !IsDone(); ++Round)
+    Loop.runOnce(base::monotonic_clock::now() + std::chrono::milliseconds(5));
+  BOOST_TEST(IsDone());
+}
+
+std::string receiveAll(Poco::Net::StreamSocket &Socket) {
+  std::string Result;
+  std::array<char, 256> Buffer{};
+  int Count = 0;
+  while ((Count = Socket.receiveBytes(Buffer.data(), 256)) > 0)
+    Result.append(Buffer.data(), static_cast<std::size_t>(Count));
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_line_stream)
+
+BOOST_AUTO_TEST_CASE(delivers_whole_lines_however_they_arrive) {
+  event_loop Loop;
+  connected_pair Pair;
+  std::vector<std::string> Lines;
+  line_stream_events Events;
+  Events.Line = [&](std::string_view Line) { Lines.emplace_back(Line); };
+  line_stream Stream(Loop, Pair.Accepted, std::move(Events));
+  Pair.Peer.sendBytes("first\r\nsec", 10);
+  turnUntil(Loop, [&] { return Lines.size() == 1; });
+  Pair.Peer.sendBytes("ond\nthird\r\n", 12);
+  turnUntil(Loop, [&] { return Lines.size() == 3; });
+  BOOST_TEST((Lines == std::vector<std::string>{"first", "second", "third"}));
+}
+
+BOOST_AUTO_TEST_CASE(delivers_lines_that_came_before_the_end) {
+  event_loop Loop;
+  connected_pair Pair;
+  std::vector<std::string> Seen;
+  line_stream_events Events;
+  Events.Line = [&](std::string_view Line) { Seen.emplace_back(Line); };
+  Events.Ended = [&] { Seen.emplace_back("(ended)"); };
+  line_stream Stream(Loop, Pair.Accepted, std::move(Events));
+  Pair.Peer.sendBytes("last\n", 5);
+  Pair.Peer.shutdownSend();
+  turnUntil(Loop, [&] { return Seen.size() == 2; });
+  BOOST_TEST((Seen == std::vector<std::string>{"last", "(ended)"}));
+}
+
+BOOST_AUTO_TEST_CASE(sends_all_output_before_it_closes) {
+  event_loop Loop;
+  connected_pair Pair;
+  bool HasEnded = false;
+  line_stream_events Events;
+  Events.Line = [](std::string_view) {};
+  Events.Ended = [&] { HasEnded = true; };
+  line_stream Stream(Loop, Pair.Accepted, std::move(Events));
+  Stream.output() = "answer\r\n";
+  Stream.closeAfterOutput();
+  turnUntil(Loop, [&] { return HasEnded; });
+  BOOST_TEST(receiveAll(Pair.Peer) == "answer\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(reports_a_connection_that_is_refused) {
+  event_loop Loop;
+  std::string Address;
+  {
+    Poco::Net::ServerSocket Gone(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Address = Gone.address().toString();
+  }
+  int Descriptor = line_stream::connect(Address);
+  if (Descriptor < 0)
+    return; // refused at once
+  bool HasEnded = false;
+  line_stream_events Events;
+  Events.Connected = [] {};
+  Events.Line = [](std::string_view) {};
+  Events.Ended = [&] { HasEnded = true; };
+  line_stream Stream(Loop, Descriptor, std::move(Events));
+  turnUntil(Loop, [&] { return HasEnded; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_status_listener)
+
+BOOST_AUTO_TEST_CASE(answers_a_probe_with_the_page_of_its_path) {
+  std::string Address;
+  {
+    Poco::Net::ServerSocket Free(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Address = Free.address().toString();
+  }
+  event_loop Loop;
+  std::string Asked;
+  status_listener Listener(Loop, Address, [&](const std::string &Path) {
+    Asked = Path;
+    return status_page{503, "text/plain", "draining"};
+  });
+  Poco::Net::StreamSocket Probe{Poco::Net::SocketAddress(Address)};
+  std::string Request = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+  Probe.sendBytes(Request.data(), static_cast<int>(Request.size()));
+  turnUntil(Loop, [&] { return !Asked.empty(); });
+  BOOST_TEST(Asked == "/health/ready");
+  std::string Answer = receiveAll(Probe);
+  BOOST_TEST(Answer.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(Answer.ends_with("\r\n\r\ndraining"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace radishrelay::daemon::tests
