Split the largest files of the session path; test members and shared proofs

The tests of fleet_members, of proofs that neighbours share and of datagrams were missing; they pass on the code as it was.

--- /dev/null
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -0,0 +1,163 @@
+// When a primary is voted on and replaced.
+#include "radishrelay/sessions/detail/group_supervisor.h"
+
+namespace radishrelay::sessions::detail {
+
+namespace {
+
+/// A failed write may be a lost answer; two without a success between are not.
+constexpr std::uint32_t WriteTimeoutsToSuspect = 2;
+/// An instance that answered a status call so recently can be fenced.
+constexpr base::duration ReachedLifetime = std::chrono::milliseconds(1000);
+
+} // namespace
+
+bool group_supervisor::isSuspected(base::time_point Now) const {
+  bool IsLost =
+      FailedProbes >= 2 && Now >= std::max(FirstFailureAt, PrimaryAnsweredAt) +
+                                      Options.SuspicionDelay;
+  bool AreWritesLost = WriteTimeouts >= WriteTimeoutsToSuspect;
+  return IsLost || AreWritesLost;
+}
+
+bool group_supervisor::isPrimaryLeaving() const {
+  if (!Leadership.primary())
+    return false;
+  auto Member = Members.find(*Leadership.primary());
+  return Member != Members.end() && Member->second.IsListed &&
+         Member->second.Listing.Draining;
+}
+
+bool group_supervisor::canFence(base::time_point Now) const {
+  // A host that does not reach enough instances would hold the claim in vain.
+  std::size_t Reached = 0;
+  for (const auto &[Instance, Dated] : Leadership.conditions())
+    if (Now <= Dated.SentAt + ReachedLifetime)
+      ++Reached;
+  return Reached + 1 >= Members.size();
+}
+
+bool group_supervisor::doesPrimaryLead(base::time_point Now) const {
+  auto Dated = Leadership.conditions().find(*Leadership.primary());
+  return Dated != Leadership.conditions().end() &&
+         Now <= Dated->second.SentAt + ReachedLifetime &&
+         Dated->second.Condition.Role == groups::instance_role::Primary &&
+         Dated->second.Condition.Term == Leadership.highestTerm();
+}
+
+void group_supervisor::considerPromotion(base::time_point Now) {
+  if (!Promotion.isIdle())
+    return;
+  bool IsLeaving = isPrimaryLeaving();
+  if (!IsLeaving && !isSuspected(Now)) {
+    ReplaceSince.reset();
+    HasVoted = false;
+    return;
+  }
+  if (!IsLeaving && Now >= NextVoteAt)
+    castVote(Now);
+  bool IsDue = IsLeaving || Votes.isAgreed(Leadership.highestTerm(), Size, Now);
+  if (!IsDue || !Size.IsPromoter)
+    return;
+  if (!ReplaceSince)
+    ReplaceSince = Now;
+  if (Now < *ReplaceSince + Size.PromotionDelay)
+    return;
+  // A leaving primary that was already replaced is not replaced again.
+  bool IsViewFresh = canFence(Now) && (!IsLeaving || doesPrimaryLead(Now));
+  if (!IsViewFresh)
+    startProbeIfDue(Now);
+  else
+    startPromotion(Now, IsLeaving ? "primary is leaving" : "primary is lost");
+}
+
+void group_supervisor::startProbeIfDue(base::time_point Now) {
+  if (!IsProbing && Now >= NextProbeAt)
+    startProbe(Now);
+}
+
+void group_supervisor::castVote(base::time_point Now) {
+  NextVoteAt = Now + Options.VoteInterval;
+  if (!HasVoted) {
+    base::json Fields = Leadership.dump();
+    Fields["group"] = Group.str();
+    Fields["failed_probes"] = FailedProbes;
+    Fields["write_timeouts"] = WriteTimeouts;
+    Log.belief("vote for a promotion", Fields);
+  }
+  HasVoted = true;
+  promotion_vote Vote{Group, Leadership.highestTerm(), Options.Host,
+                      Options.Domain};
+  Votes.receive(Vote, Now);
+  for (const std::string &Promoter : Size.Promoters)
+    Fleet.send(Vote, Promoter);
+}
+
+void group_supervisor::startPromotion(base::time_point Now,
+                                      std::string_view Reason) {
+  promotion_request Request;
+  if (Leadership.primary())
+    Request.OldPrimary = *Leadership.primary();
+  Request.Term = Leadership.highestTerm();
+  for (const auto &[Instance, Member] : Members)
+    Request.Members.push_back({Instance, Member.Listing.Draining});
+  promotion_actions Actions;
+  Promotion.start(Request, Now, Actions);
+  if (!Actions.empty()) {
+    base::json Fields = Leadership.dump();
+    Fields["group"] = Group.str();
+    Fields["reason"] = Reason;
+    Log.belief("promotion started", Fields);
+  }
+  perform(Actions, Now);
+}
+
+void group_supervisor::perform(const promotion_actions &Actions,
+                               base::time_point Now) {
+  for (const promotion_action &Action : Actions) {
+    backend_request Call;
+    base::instance_id Instance;
+    if (const auto *StoreCall = std::get_if<promotion_store_call>(&Action)) {
+      Store.execute(StoreCall->Request,
+                    [this](const base::store_answer &Answer, auto At) {
+                      promotion_actions Next;
+                      Promotion.storeAnswered(Answer, At, Next);
+                      perform(Next, At);
+                    });
+      continue;
+    }
+    if (const auto *End = std::get_if<promotion_abandoned>(&Action)) {
+      base::json Fields = Promotion.dump();
+      Fields["group"] = Group.str();
+      Fields["reason"] = End->Reason;
+      Log.belief("promotion given up", Fields);
+      continue;
+    }
+    if (const auto *Order = std::get_if<promotion_order>(&Action)) {
+      base::json Fields = Promotion.dump();
+      Fields["group"] = Group.str();
+      Log.belief("promotion ordered", Fields);
+      Store.promote(Group, Order->Instance, Order->Generation,
+                    [this](bool Accepted, auto At) {
+                      promotion_actions Next;
+                      Promotion.orderAnswered(Accepted, At, Next);
+                      perform(Next, At);
+                    });
+      continue;
+    }
+    if (const auto *Fence = std::get_if<promotion_fence>(&Action)) {
+      Call.Verb = Fence->IsPrimary ? backend_verb::Demote : backend_verb::Fence;
+      Call.Term = Fence->Term;
+      Instance = Fence->Instance;
+    } else if (const auto *Unfence = std::get_if<promotion_unfence>(&Action)) {
+      Call.Verb = backend_verb::Unfence;
+      Instance = Unfence->Instance;
+    } else {
+      Call.Verb = backend_verb::Status;
+      Instance = std::get<promotion_status>(Action).Instance;
+    }
+    Pool.call(Instance, CallAccount, Call, Now);
+  }
+}
+
+} // namespace radishrelay::sessions::detail
--- /dev/null
+++ b/packages/sessions/src/session_failures.cpp
@@ -0,0 +1,142 @@
+// What becomes of a statement whose instance failed it: another try, or a
+// truthful answer.
+#include "radishrelay/sessions/session_engine.h"
+
+namespace radishrelay::sessions {
+
+namespace {
+
+constexpr std::uint32_t MaxAttempts = 5;
+/// An instance that failed gets no read for this long if there is another.
+constexpr base::duration LostConnectionPause = std::chrono::milliseconds(1000);
+
+} // namespace
+
+bool session_engine::canTryElsewhere(const session &Session, refusal Reason,
+                                     base::time_point Now) const {
+  const operation &Operation = *Session.Current;
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  if (IsInTransaction && Session.Transaction.HasRun)
+    return false;
+  bool IsCommit = Operation.Statement.Kind == statement_kind::Commit;
+  bool IsSafe =
+      promisesNothingKept(Reason) || (!Operation.IsWrite && !IsCommit);
+  bool IsInTime = Now < Operation.ReceivedAt + Session.Route.StatementTimeout;
+  return IsSafe && IsInTime && Operation.Attempts < MaxAttempts;
+}
+
+void session_engine::tryElsewhere(session &Session, connection *Connection,
+                                  refusal Reason, session_phase BackendPhase,
+                                  base::time_point Now) {
+  operation &Operation = *Session.Current;
+  ++Counters.RetriedElsewhere;
+  if (Connection) {
+    if (!needsPrimary(Session))
+      Operation.Avoid.insert(Connection->Instance);
+    putBack(*Connection, BackendPhase, Now);
+  }
+  if (Reason == refusal::Busy || Reason == refusal::TooMany ||
+      Reason == refusal::ReadOnly)
+    Operation.NotBefore = Now + Options.BusyRetryDelay;
+  Operation.LastRefusal = promisesNothingKept(Reason)
+                              ? std::optional<refusal>(Reason)
+                              : std::nullopt;
+  detach(Session);
+  Session.Transaction.Connection.reset();
+  Session.Transaction.HasBegun = false;
+  chooseInstance(Session, Now);
+}
+
+void session_engine::connectionLost(session &Session,
+                                    const base::instance_id &Instance,
+                                    std::optional<refusal> Reason,
+                                    base::time_point Now) {
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  if (!Session.Current) {
+    if (IsInTransaction) {
+      Session.Transaction.Connection.reset();
+      Session.Transaction.HasBegun = false;
+      Session.Transaction.EndedBecause =
+          "the connection of the transaction was lost";
+    }
+    return;
+  }
+  operation &Operation = *Session.Current;
+  auto View = Instances.find(Instance);
+  if (!Reason && View != Instances.end())
+    View->second.AvoidUntil = Now + LostConnectionPause;
+  bool HasRun = Operation.Stage == stage::Running;
+  bool IsCommit = Operation.Statement.Kind == statement_kind::Commit;
+  bool MayHaveCommitted =
+      HasRun && (IsCommit || (Operation.IsWrite && !IsInTransaction));
+  if (MayHaveCommitted) {
+    answerError(Session, refusal::InDoubt,
+                "the connection was lost while the commit ran", Now);
+    return;
+  }
+  if (!needsPrimary(Session))
+    Operation.Avoid.insert(Instance);
+  if (canTryElsewhere(Session, refusal::Busy, Now)) {
+    tryElsewhere(Session, nullptr, Reason.value_or(refusal::Busy),
+                 session_phase::Idle, Now);
+    return;
+  }
+  answerError(Session, IsInTransaction ? refusal::Aborted : refusal::Busy,
+              "the connection to the instance was lost", Now);
+}
+
+void session_engine::operationDue(session &Session, base::time_point Now) {
+  operation &Operation = *Session.Current;
+  switch (Operation.Stage) {
+  case stage::AwaitingToken:
+  case stage::AwaitingInstance:
+    advanceOperation(Session, Now);
+    return;
+  case stage::Opening:
+    if (connection *Connection = connectionOf(Session))
+      Connection->Session.reset();
+    detach(Session);
+    Session.Transaction.Connection.reset();
+    answerError(Session, refusal::Busy,
+                "no connection to the instance was open in time", Now);
+    return;
+  default:
+    statementTimedOut(Session, Now);
+  }
+}
+
+void session_engine::statementTimedOut(session &Session, base::time_point Now) {
+  operation &Operation = *Session.Current;
+  connection *Connection = connectionOf(Session);
+  base::instance_id Instance =
+      Connection ? Connection->Instance : base::instance_id();
+  supervisor *Group = groupOf(Session.Route.Group);
+  bool IsInTransaction = Session.Phase == session_phase::InTransaction;
+  bool HasRun = Operation.Stage == stage::Running;
+  bool IsCommit = Operation.Statement.Kind == statement_kind::Commit;
+  bool MayHaveCommitted =
+      HasRun && (IsCommit || (Operation.IsWrite && !IsInTransaction));
+  if (Group && MayHaveCommitted)
+    Group->noteWriteTimeout(Instance, Now);
+  if (Group)
+    Group->noteFailure(Instance, Now);
+  if (Connection)
+    Pool.discard(Connection->Number);
+  ShouldServeWaiting = true;
+  Session.Transaction.Connection.reset();
+  Session.Transaction.HasBegun = false;
+  if (MayHaveCommitted) {
+    answerError(Session, refusal::InDoubt,
+                "the instance did not answer the commit in time", Now);
+    return;
+  }
+  Operation.Avoid.insert(Instance);
+  if (canTryElsewhere(Session, refusal::Busy, Now)) {
+    tryElsewhere(Session, nullptr, refusal::Timeout, session_phase::Idle, Now);
+    return;
+  }
+  answerError(Session, IsInTransaction ? refusal::Aborted : refusal::Timeout,
+              "the instance did not answer in time", Now);
+}
+
+} // namespace radishrelay::sessions
--- /dev/null
+++ b/packages/sessions/tests/members_test.cpp
@@ -0,0 +1,166 @@
+#include "radishrelay/sessions/detail/peer_message.h"
+#include "support/fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishrelay::sessions::tests {
+
+namespace {
+
+using detail::decodeDatagram;
+using detail::encodeDatagram;
+using detail::proof_offer;
+using detail::proof_wish;
+
+/// A fleet with a neighbour, the host h2, in the same failure domain.
+struct neighbour_fleet : fake_fleet {
+  neighbour_fleet() {
+    Rows[{"members", "h2"}] = {
+        {"members", "h2"}, 900, {{"domain", "b"}, {"address", "h2:1"}}};
+    run(9000ms); // until the table of members is read again
+    Datagrams.clear();
+    Requests.clear();
+  }
+
+  /// The wish for a proof that was sent last.
+  proof_wish lastWish() const {
+    for (auto Sent = Datagrams.rbegin(); Sent != Datagrams.rend(); ++Sent)
+      if (const auto *Wish =
+              std::get_if<proof_wish>(&decodeDatagram(Sent->second)->Message))
+        return *Wish;
+    BOOST_FAIL("no wish for a proof was sent");
+    return {};
+  }
+
+  void offer(base::duration Age, groups::term_number Term = 1) {
+    proof_offer Offer{base::group_id("g"),
+                      lastWish().SentAt,
+                      base::instance_id("p"),
+                      Term,
+                      Age,
+                      std::nullopt,
+                      {}};
+    engine().datagramReceived(encodeDatagram({"h2:1", Offer}), now());
+    run(1ms);
+  }
+
+  std::size_t statusCalls() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(Requests, [](const auto &Sent) {
+          return Sent.second.Verb == backend_verb::Status;
+        }));
+  }
+};
+
+int served(fake_fleet &Fleet, int Count) {
+  session_number Session = Fleet.connect("primary");
+  int Served = 0;
+  for (int Index = 0; Index < Count; ++Index)
+    Served += !Fleet.ask(Session, "read x").Error.has_value();
+  return Served;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_member_of_the_fleet)
+
+BOOST_AUTO_TEST_SUITE(holds_its_part_of_the_limits)
+
+BOOST_AUTO_TEST_CASE(through_an_outage_of_the_store_but_not_without_end) {
+  fake_fleet Fleet;
+  Fleet.IsStoreDown = true;
+  Fleet.run(20000ms);
+  BOOST_TEST(served(Fleet, 5) == 5);
+  // Others may have removed this host by then and taken its part.
+  Fleet.run(12000ms);
+  BOOST_TEST(served(Fleet, 5) == 0);
+  Fleet.IsStoreDown = false;
+  Fleet.run(12000ms);
+  BOOST_TEST(served(Fleet, 5) == 5);
+}
+
+BOOST_AUTO_TEST_CASE(which_shrinks_when_another_host_joins) {
+  neighbour_fleet Fleet;
+  base::json State = Fleet.engine().dump();
+  BOOST_TEST(State["fleet"]["part_millionths"] == 500000);
+}
+
+BOOST_AUTO_TEST_CASE(and_removes_hosts_that_have_not_renewed_their_row) {
+  neighbour_fleet Fleet;
+  Fleet.run(60000ms);
+  BOOST_TEST(!Fleet.Rows.contains({"members", "h2"}));
+  BOOST_TEST(Fleet.Rows.contains({"members", "h1"}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(shares_proofs_with_its_neighbours)
+
+BOOST_AUTO_TEST_CASE(and_asks_no_instance_when_one_offers_a_proof) {
+  neighbour_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.send(Session, "read x");
+  Fleet.offer(100ms);
+  BOOST_TEST(Fleet.held().size() == 1U);
+  BOOST_TEST(Fleet.statusCalls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(but_takes_none_that_is_older_than_the_lease) {
+  neighbour_fleet Fleet;
+  Fleet.send(Fleet.connect("primary"), "read x");
+  Fleet.offer(engine_options{}.LeaseDuration + 1ms);
+  BOOST_TEST(Fleet.held().empty());
+}
+
+BOOST_AUTO_TEST_CASE(but_takes_none_of_an_older_term) {
+  neighbour_fleet Fleet;
+  Fleet.instance("p").Log = {3, 100};
+  Fleet.instance("r1").Log = {3, 100};
+  Fleet.instance("r2").Log = {3, 100};
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "read x"); // term 3 is proved
+  Fleet.run(5000ms);
+  Fleet.send(Session, "read x");
+  Fleet.offer(0ms, 2);
+  BOOST_TEST(Fleet.engine().dump()["groups"]["g"]["term"] == 3);
+}
+
+BOOST_AUTO_TEST_CASE(and_offers_its_own_with_its_age) {
+  neighbour_fleet Fleet;
+  Fleet.ask(Fleet.connect("primary"), "write x 1");
+  Fleet.run(50ms);
+  Fleet.Datagrams.clear();
+  base::time_point AskedAt = base::fromMicroseconds(77);
+  Fleet.engine().datagramReceived(
+      encodeDatagram({"h2:1", proof_wish{base::group_id("g"), AskedAt}}),
+      Fleet.now());
+  BOOST_REQUIRE(Fleet.Datagrams.size() == 1U);
+  auto Sent = decodeDatagram(Fleet.Datagrams[0].second);
+  const auto &Offer = std::get<proof_offer>(Sent->Message);
+  BOOST_TEST((Offer.AskedAt == AskedAt));
+  BOOST_TEST(Offer.Primary == base::instance_id("p"));
+  BOOST_TEST((Offer.Age >= 50ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ignores_a_datagram)
+
+BOOST_AUTO_TEST_CASE(that_it_cannot_read) {
+  for (const std::string &Bytes :
+       {std::string(), std::string("garbage"), std::string(2000, '\x90')})
+    BOOST_TEST(!decodeDatagram(Bytes).has_value());
+  std::string Whole = encodeDatagram(
+      {"h2:1",
+       detail::promotion_vote{base::group_id("g"), 1, base::host_id("h2"),
+                              base::failure_domain_id("b")}});
+  for (std::size_t Size = 0; Size < Whole.size(); ++Size)
+    BOOST_TEST(!decodeDatagram(Whole.substr(0, Size)).has_value());
+  BOOST_TEST(decodeDatagram(Whole).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace radishrelay::sessions::tests
