Name the doubts about a primary once

The same two conditions stood three and two times in group_supervisor; they are isPrimaryDoubted and isPrimarySilent now. promotion::candidate had no caller. Behaviour is as before; the tests of the sessions package pass.

--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -90,6 +90,14 @@
   void seekProof(base::time_point Now);
   void askNeighbours(base::time_point Now);
   void startProbe(base::time_point Now);
+  /// Probes fail and the primary has answered nothing since.
+  [[nodiscard]] bool isPrimarySilent() const {
+    return FailedProbes > 0 && PrimaryAnsweredAt < FirstFailureAt;
+  }
+  /// Something failed on the primary after its latest proof.
+  [[nodiscard]] bool isPrimaryDoubted() const {
+    return FailedProbes > 0 || FirstFailureAt > Leadership.provedAt();
+  }
   void startProbeIfDue(base::time_point Now);
   void endProbe(base::time_point Now);
   void noteProved(base::time_point Now);
--- a/packages/sessions/include/radishrelay/sessions/promotion.h
+++ b/packages/sessions/include/radishrelay/sessions/promotion.h
@@ -120,7 +120,6 @@
            Stage == promotion_stage::Confirming;
   }
   [[nodiscard]] base::time_point nextWake() const;
-  [[nodiscard]] const base::instance_id &candidate() const { return Candidate; }
   [[nodiscard]] base::json dump() const;
 
 private:
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -58,15 +58,13 @@
 
 std::optional<base::instance_id>
 group_supervisor::usablePrimary(base::time_point Now) const {
-  bool IsSilent = FailedProbes > 0 && PrimaryAnsweredAt < FirstFailureAt;
-  if (IsSilent || !Leadership.isProved(Now))
+  if (isPrimarySilent() || !Leadership.isProved(Now))
     return std::nullopt;
   return Leadership.primary();
 }
 
 std::optional<base::instance_id> group_supervisor::primaryForWrites() const {
-  bool IsSilent = FailedProbes > 0 && PrimaryAnsweredAt < FirstFailureAt;
-  if (IsSilent || Settings.SyncReplicas == 0 || !Promotion.isIdle())
+  if (isPrimarySilent() || Settings.SyncReplicas == 0 || !Promotion.isIdle())
     return std::nullopt;
   return Leadership.primary();
 }
@@ -83,9 +81,8 @@
 void group_supervisor::seekProof(base::time_point Now) {
   if (IsProbing || Now >= WantedAt + DemandLifetime)
     return;
-  bool IsDoubted = FailedProbes > 0 || FirstFailureAt > Leadership.provedAt();
   bool IsProvedLonger = Leadership.isProved(Now + RenewalTime);
-  if (!IsDoubted && !IsProvedLonger && Now >= NextAskAt)
+  if (!isPrimaryDoubted() && !IsProvedLonger && Now >= NextAskAt)
     askNeighbours(Now);
   bool AreNeighboursAwaited = NeighboursUntil && Now < *NeighboursUntil;
   if (!AreNeighboursAwaited && Now >= NextProbeAt && isProbeNeeded(Now))
@@ -106,8 +103,7 @@
 
 std::optional<proof_offer> group_supervisor::offer(const proof_wish &Wish,
                                                    base::time_point Now) const {
-  bool IsOfUse = FailedProbes == 0 && FirstFailureAt <= Leadership.provedAt() &&
-                 Leadership.isProved(Now + RenewalTime);
+  bool IsOfUse = !isPrimaryDoubted() && Leadership.isProved(Now + RenewalTime);
   if (!IsOfUse)
     return std::nullopt;
   proof_offer Offer;
@@ -127,8 +123,8 @@
   base::time_point ProvedAt = Offer.AskedAt - Offer.Age;
   bool IsNewer = ProvedAt > Leadership.provedAt();
   // Doubts of this host go before what another believes.
-  bool IsDoubted = FailedProbes > 0 || FirstFailureAt > Leadership.provedAt();
-  if (IsDoubted || Offer.Age < base::duration::zero() || Offer.AskedAt > Now)
+  if (isPrimaryDoubted() || Offer.Age < base::duration::zero() ||
+      Offer.AskedAt > Now)
     return false;
   Leadership.noteProof(Offer.Primary, Offer.Term, ProvedAt);
   if (Offer.Position)
@@ -143,9 +139,8 @@
 }
 
 bool group_supervisor::isProbeNeeded(base::time_point Now) const {
-  bool IsDoubted = FailedProbes > 0 || FirstFailureAt > Leadership.provedAt();
   bool IsWanted = Now < WantedAt + DemandLifetime;
-  return IsWanted && (IsDoubted || !Leadership.isProved(Now));
+  return IsWanted && (isPrimaryDoubted() || !Leadership.isProved(Now));
 }
 
 void group_supervisor::startProbe(base::time_point Now) {
