--- a/packages/accounts/include/radishrelay/accounts/lending_limiter.h
+++ b/packages/accounts/include/radishrelay/accounts/lending_limiter.h
@@ -8,7 +8,6 @@
 
 #include <map>
 #include <optional>
-#include <vector>
 
 namespace radishrelay::accounts {
 
@@ -22,28 +21,40 @@
                          const token_transfer &) = default;
 };
 
-/// One host's part of the limits of all accounts, where each host holds an
-/// equal share and lends what it does not need.
+/// The limits of one account and this host's share of them.
+struct account_share {
+  account_limits Limits;
+  /// 0 while this host holds none.
+  millionths Part = 0;
+
+  friend bool operator==(const account_share &,
+                         const account_share &) = default;
+};
+
+/// One host's part of the limits of all accounts, where some hosts hold equal
+/// shares and lend what they do not need.
 ///
 /// A transfer takes tokens from the lender's bucket before it is sent, and a
 /// lost message loses them, so the hosts together never admit more than rate
 /// and burst as long as their shares sum to the whole.
 class lending_limiter {
 public:
-  /// Replaces limits and share. \p Part is this host's share of each limit; 0
-  /// while it holds none.
-  void configure(const std::map<base::account_id, account_limits> &Limits,
-                 millionths Part, base::time_point Now);
+  /// Replaces limits and shares.
+  void configure(const std::map<base::account_id, account_share> &Shares,
+                 base::time_point Now);
 
+  /// An operation of \p Account has arrived, whether or not it is admitted.
+  void noteDemand(const base::account_id &Account, base::time_point Now);
   /// Takes a token if there is one.
   bool take(const base::account_id &Account, base::time_point Now);
   /// When the own share alone yields a token.
   [[nodiscard]] base::time_point
   nextTokenAt(const base::account_id &Account) const;
 
-  /// What to ask another host for now, if anything; at most one request for
-  /// each account in AskInterval.
-  std::vector<token_transfer> wishes(base::time_point Now);
+  /// What to ask another host for when \p Waiting operations have no token:
+  /// a token for each, and some for those that will follow at the present rate.
+  [[nodiscard]] token_transfer wishFor(const base::account_id &Account,
+                                       std::int64_t Waiting) const;
   /// Takes tokens out of the bucket for another host; empty when none can be
   /// spared.
   std::optional<token_transfer> lend(const token_transfer &Wish,
@@ -59,13 +70,11 @@
     token_amount Borrowed = 0;
     /// Borrowed tokens lapse, so that stored tokens stay within the burst.
     base::time_point BorrowedUntil;
-    /// Requests, admitted or not, since CountedFrom.
+    /// Operations, admitted or not, since CountedFrom.
     std::int64_t Demand = 0;
     base::time_point CountedFrom;
-    /// Requests a second in the last full interval.
+    /// Operations a second in the last full interval.
     double DemandRate = 0;
-    base::time_point AskedAt;
-    bool IsShort = false;
   };
 
   static void countDemand(account_state &State, base::time_point Now);
--- a/packages/accounts/src/lending_limiter.cpp
+++ b/packages/accounts/src/lending_limiter.cpp
@@ -9,27 +9,22 @@
 
 /// Demand is measured over so long; shorter intervals count too few requests.
 constexpr base::duration DemandInterval = std::chrono::milliseconds(1000);
-/// Some round trips between hosts.
-constexpr base::duration AskInterval = std::chrono::milliseconds(100);
-/// A loan covers the demand of this long, so that it is spent soon.
+/// A loan covers the demand of this long, so that it is spent before it lapses.
 constexpr double LoanSeconds = 0.5;
-/// Below the demand of this long a host asks, so that the loan arrives in time.
-constexpr double LowLevelSeconds = 0.2;
 /// What a lender keeps for its own callers.
 constexpr double ReserveSeconds = 0.3;
-constexpr std::int64_t SmallestLoan = 2;
 /// Twice the time in which a loan is expected to be spent.
 constexpr base::duration LoanLifetime = std::chrono::milliseconds(1000);
 
 } // namespace
 
 void lending_limiter::configure(
-    const std::map<base::account_id, account_limits> &Limits, millionths Part,
+    const std::map<base::account_id, account_share> &Shares,
     base::time_point Now) {
   std::erase_if(
-      States, [&](const auto &Entry) { return !Limits.contains(Entry.first); });
-  for (const auto &[Account, Limit] : Limits) {
-    token_share Share = shareOf(Limit, Part);
+      States, [&](const auto &Entry) { return !Shares.contains(Entry.first); });
+  for (const auto &[Account, Held] : Shares) {
+    token_share Share = shareOf(Held.Limits, Held.Part);
     auto [Entry, IsNew] = States.try_emplace(Account);
     if (IsNew) {
       Entry->second.Bucket = token_bucket(Share, Now);
@@ -59,6 +54,15 @@
   return (State.Bucket.level() + State.Borrowed) / OneToken;
 }
 
+void lending_limiter::noteDemand(const base::account_id &Account,
+                                 base::time_point Now) {
+  auto Entry = States.find(Account);
+  if (Entry == States.end())
+    return;
+  countDemand(Entry->second, Now);
+  ++Entry->second.Demand;
+}
+
 bool lending_limiter::take(const base::account_id &Account,
                            base::time_point Now) {
   auto Entry = States.find(Account);
@@ -66,16 +70,12 @@
     return false;
   account_state &State = Entry->second;
   countDemand(State, Now);
-  ++State.Demand;
   State.Bucket.refill(Now);
   if (State.Borrowed >= OneToken) {
     State.Borrowed -= OneToken;
     return true;
   }
-  bool IsTaken = State.Bucket.take(OneToken);
-  if (!IsTaken)
-    State.IsShort = true;
-  return IsTaken;
+  return State.Bucket.take(OneToken);
 }
 
 base::time_point
@@ -85,27 +85,11 @@
                                : Entry->second.Bucket.reaches(OneToken);
 }
 
-std::vector<token_transfer> lending_limiter::wishes(base::time_point Now) {
-  std::vector<token_transfer> Result;
-  for (auto &[Account, State] : States) {
-    countDemand(State, Now);
-    State.Bucket.refill(Now);
-    double Rate = std::max(
-        State.DemandRate,
-        static_cast<double>(State.Demand)); // the interval has just begun
-    double OwnRate = static_cast<double>(State.Bucket.share().Rate) * 1e6 /
-                     static_cast<double>(OneToken);
-    bool IsLow =
-        static_cast<double>(wholeTokens(State)) < Rate * LowLevelSeconds &&
-        Rate > OwnRate;
-    if ((!IsLow && !State.IsShort) || Now < State.AskedAt + AskInterval)
-      continue;
-    State.AskedAt = Now;
-    State.IsShort = false;
-    auto Wanted = static_cast<std::int64_t>(Rate * LoanSeconds);
-    Result.push_back({Account, std::max(SmallestLoan, Wanted)});
-  }
-  return Result;
+token_transfer lending_limiter::wishFor(const base::account_id &Account,
+                                        std::int64_t Waiting) const {
+  auto Entry = States.find(Account);
+  double Rate = Entry == States.end() ? 0 : Entry->second.DemandRate;
+  return {Account, Waiting + static_cast<std::int64_t>(Rate * LoanSeconds)};
 }
 
 std::optional<token_transfer> lending_limiter::lend(const token_transfer &Wish,
--- a/packages/accounts/tests/lending_limiter_test.cpp
+++ b/packages/accounts/tests/lending_limiter_test.cpp
@@ -16,18 +16,19 @@
 constexpr std::int64_t Rate = 130;
 constexpr std::int64_t Burst = 130;
 constexpr std::size_t Hosts = 13;
+/// Hosts that are asked for tokens before an operation is refused.
+constexpr int Lenders = 4;
 
-std::map<base::account_id, account_limits> limits(std::int64_t PerSecond) {
-  return {{Account, {Account, PerSecond, Burst}}};
+std::map<base::account_id, account_share> shares(millionths Part) {
+  return {{Account, {{Account, Rate, Burst}, Part}}};
 }
 
 /// Hosts whose demand differs and whose messages are lost at times.
 struct fleet {
   explicit fleet(std::uint64_t Seed) : Random(Seed), Limiters(Hosts) {
     for (lending_limiter &Limiter : Limiters)
-      Limiter.configure(limits(Rate),
-                        WholeInMillionths / static_cast<millionths>(Hosts),
-                        Now);
+      Limiter.configure(
+          shares(WholeInMillionths / static_cast<millionths>(Hosts)), Now);
   }
 
   void step(const std::vector<double> &Demand, double Loss) {
@@ -35,20 +36,27 @@
     for (std::size_t Host = 0; Host < Hosts; ++Host) {
       if (Random.chance(Demand[Host] / 1000.0)) {
         ++Asked;
-        if (Limiters[Host].take(Account, Now))
+        Limiters[Host].noteDemand(Account, Now);
+        bool IsAdmitted = Limiters[Host].take(Account, Now);
+        for (int Try = 0; !IsAdmitted && Try < Lenders; ++Try) {
+          borrow(Host, Loss);
+          IsAdmitted = Limiters[Host].take(Account, Now);
+        }
+        if (IsAdmitted)
           Admitted.push_back(Now);
       }
-      for (const token_transfer &Wish : Limiters[Host].wishes(Now)) {
-        std::size_t Lender = Random.below(Hosts);
-        if (Lender == Host || Random.chance(Loss))
-          continue;
-        auto Gift = Limiters[Lender].lend(Wish, Now);
-        if (Gift && !Random.chance(Loss))
-          Limiters[Host].receive(*Gift, Now);
-      }
     }
   }
 
+  void borrow(std::size_t Host, double Loss) {
+    std::size_t Lender = Random.below(Hosts);
+    if (Lender == Host || Random.chance(Loss))
+      return;
+    auto Gift = Limiters[Lender].lend(Limiters[Host].wishFor(Account, 1), Now);
+    if (Gift && !Random.chance(Loss))
+      Limiters[Host].receive(*Gift, Now);
+  }
+
   /// Most admissions in any window of \p Window.
   std::size_t mostIn(base::duration Window) const {
     std::size_t Most = 0;
@@ -104,7 +112,7 @@
 BOOST_AUTO_TEST_CASE(is_not_raised_by_a_host_that_holds_no_part) {
   lending_limiter Limiter;
   base::time_point Now = base::fromMicroseconds(1'000'000);
-  Limiter.configure(limits(Rate), 0, Now);
+  Limiter.configure(shares(0), Now);
   BOOST_TEST(!Limiter.take(Account, Now + 10s));
   BOOST_TEST(!Limiter.lend({Account, 5}, Now + 10s).has_value());
 }
@@ -112,12 +120,10 @@
 BOOST_AUTO_TEST_CASE(is_cut_at_once_when_operators_lower_it) {
   lending_limiter Limiter;
   base::time_point Now = base::fromMicroseconds(1'000'000);
-  Limiter.configure(limits(Rate), WholeInMillionths, Now);
+  Limiter.configure(shares(WholeInMillionths), Now);
   Now += 10s;
   BOOST_TEST(Limiter.take(Account, Now));
-  std::map<base::account_id, account_limits> Lowered{
-      {Account, {Account, 1, 2}}};
-  Limiter.configure(Lowered, WholeInMillionths, Now);
+  Limiter.configure({{Account, {{Account, 1, 2}, WholeInMillionths}}}, Now);
   int Taken = 0;
   while (Limiter.take(Account, Now))
     ++Taken;
@@ -127,7 +133,7 @@
 BOOST_AUTO_TEST_CASE(loses_tokens_with_a_lost_loan_and_never_creates_any) {
   lending_limiter Lender;
   base::time_point Now = base::fromMicroseconds(1'000'000);
-  Lender.configure(limits(Rate), WholeInMillionths, Now);
+  Lender.configure(shares(WholeInMillionths), Now);
   Now += 10s;
   std::int64_t Lent = 0;
   while (auto Gift = Lender.lend({Account, 50}, Now))
@@ -136,6 +142,19 @@
   BOOST_TEST(!Lender.take(Account, Now));
 }
 
+BOOST_AUTO_TEST_CASE(is_borrowed_for_waiting_operations_and_those_that_follow) {
+  lending_limiter Limiter;
+  base::time_point Now = base::fromMicroseconds(1'000'000);
+  Limiter.configure(shares(0), Now);
+  // A host with little demand borrows what it needs: the rest would lapse.
+  BOOST_TEST(Limiter.wishFor(Account, 1).Tokens == 1);
+  for (int Count = 0; Count < 20; ++Count) {
+    Now += 100ms;
+    Limiter.noteDemand(Account, Now);
+  }
+  BOOST_TEST(Limiter.wishFor(Account, 2).Tokens == 2 + 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace radishrelay::accounts::tests
--- a/packages/sessions/include/radishrelay/sessions/detail/backend_connection.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/backend_connection.h
@@ -48,6 +48,8 @@
   std::uint64_t LastPreparedName = 0;
   std::deque<sent_request> Outstanding;
   base::time_point IdleSince;
+  /// Its last use was a call of the proxy itself, which is likely to recur.
+  bool WasControl = false;
   /// End of an opening, a call or a cleaning.
   base::time_point Deadline = base::time_point::max();
 };
--- a/packages/sessions/include/radishrelay/sessions/detail/backend_pool.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/backend_pool.h
@@ -42,6 +42,10 @@
 
   [[nodiscard]] pool_room room(const base::instance_id &Instance,
                                const base::account_id &Account) const;
+  /// Whether a session gets a connection without taking one from another
+  /// account: an idle one of its own, or a new one within this host's part.
+  [[nodiscard]] bool hasRoomFor(const base::instance_id &Instance,
+                                const base::account_id &Account) const;
   /// Connections that serve sessions.
   [[nodiscard]] std::size_t busy(const base::instance_id &Instance) const;
 
@@ -102,6 +106,8 @@
   /// Closes an idle connection if a new one would exceed the limit; false when
   /// none may be opened.
   bool makeRoom(instance_state &State, base::time_point Now);
+  /// Closes idle connections to an instance of which none may be kept.
+  void trimUnkept(const instance_state &State, base::time_point Now);
   [[nodiscard]] backend_connection *oldestIdle(const instance_state &State);
   [[nodiscard]] std::size_t softLimit(const base::group_id &Group) const;
   [[nodiscard]] std::size_t hardLimit(const instance_state &State) const;
--- a/packages/sessions/include/radishrelay/sessions/detail/fleet_size.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/fleet_size.h
@@ -9,14 +9,23 @@
 
 namespace radishrelay::sessions::detail {
 
-/// The hosts that vote on a promotion in one group, and those that may promote.
+/// The parts of hosts in the care for one database group: who asks the
+/// instances for the primary and votes on a promotion, and who may promote.
 struct fleet_size {
-  std::size_t Hosts = 1;
+  /// Hosts that vote: the probers of all failure domains.
+  std::size_t Voters = 1;
   std::size_t Domains = 1;
+  /// Addresses of the other probers of this failure domain; the first is asked
+  /// first.
+  std::vector<std::string> Probers{};
+  /// Whether this host asks the instances.
+  bool IsProber = false;
+  /// Whether the other probers of the failure domain rely on this one.
+  bool IsFirstProber = false;
   /// Addresses of the other hosts that may promote; votes go to them.
   std::vector<std::string> Promoters{};
   /// Whether this host may promote.
-  bool IsPromoter = true;
+  bool IsPromoter = false;
   /// How long this host lets others go first.
   base::duration PromotionDelay{};
 
--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -70,6 +70,9 @@
   /// when it proves nothing now.
   [[nodiscard]] std::optional<proof_offer> offer(const proof_wish &Wish,
                                                  base::time_point Now) const;
+  /// Answers with an offer now, or once the primary is proved.
+  void receive(const proof_wish &Wish, const std::string &ReplyTo,
+               base::time_point Now);
   void receive(const promotion_vote &Vote, base::time_point Now) {
     Votes.receive(Vote, Now);
   }
@@ -88,7 +91,14 @@
 
   /// Renews the proof in time: asks other hosts first, then instances.
   void seekProof(base::time_point Now);
-  void askNeighbours(base::time_point Now);
+  void askProbers(base::time_point Now);
+  void answerWishes(base::time_point Now);
+  [[nodiscard]] base::duration demandLifetime() const;
+  /// Whom a probe asks.
+  [[nodiscard]] std::vector<base::instance_id>
+  probeTargets(base::time_point Now) const;
+  [[nodiscard]] bool isReached(const base::instance_id &Instance,
+                               base::time_point Now) const;
   void startProbe(base::time_point Now);
   /// Probes fail and the primary has answered nothing since.
   [[nodiscard]] bool isPrimarySilent() const {
@@ -131,9 +141,16 @@
   /// Last time at which a session needed a proof.
   base::time_point WantedAt;
   /// Until when answers of other hosts are awaited before a probe.
-  std::optional<base::time_point> NeighboursUntil;
+  std::optional<base::time_point> OffersUntil;
   base::time_point NextAskAt;
-  std::size_t NeighbourIndex = 0;
+  std::size_t ProberIndex = 0;
+  /// Wishes of other hosts that could not be answered yet.
+  struct open_wish {
+    proof_wish Wish;
+    std::string ReplyTo;
+    base::time_point ReceivedAt;
+  };
+  std::vector<open_wish> Wishes;
   bool IsProbing = false;
   base::time_point ProbeStartedAt;
   base::time_point NextProbeAt;
--- /dev/null
+++ b/packages/sessions/include/radishrelay/sessions/detail/limit_holders.h
@@ -0,0 +1,28 @@
+#ifndef RADISHRELAY_SESSIONS_DETAIL_LIMIT_HOLDERS_H
+#define RADISHRELAY_SESSIONS_DETAIL_LIMIT_HOLDERS_H
+
+#include "radishrelay/accounts/account_limits.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace radishrelay::sessions::detail {
+
+/// Names of hosts by the name of their failure domain.
+using hosts_by_domain = std::map<std::string, std::vector<std::string>>;
+
+/// The hosts that hold equal shares of an account's limits, by failure domain.
+///
+/// A share of less than a whole token admits nothing, so a small burst is held
+/// by few hosts; where the burst allows it, each failure domain has one. The
+/// result depends on the arguments alone and is the same on all hosts.
+hosts_by_domain limitHolders(const accounts::account_limits &Limits,
+                             const hosts_by_domain &Hosts);
+
+/// Number of hosts in all failure domains.
+std::size_t countHosts(const hosts_by_domain &Hosts);
+
+} // namespace radishrelay::sessions::detail
+
+#endif
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -6,6 +6,7 @@
 #include "radishrelay/sessions/client_message.h"
 #include "radishrelay/sessions/client_port.h"
 #include "radishrelay/sessions/detail/backend_pool.h"
+#include "radishrelay/sessions/detail/fleet_limits.h"
 #include "radishrelay/sessions/detail/fleet_members.h"
 #include "radishrelay/sessions/detail/group_supervisor.h"
 #include "radishrelay/sessions/detail/session_state.h"
@@ -118,6 +119,8 @@
   // Routing.
   void advanceOperation(session &Session, base::time_point Now);
   void takeToken(session &Session, base::time_point Now);
+  [[nodiscard]] std::int64_t
+  countAwaitingToken(const base::account_id &Account) const;
   void chooseInstance(session &Session, base::time_point Now);
   void choosePrimary(session &Session, base::time_point Now);
   bool chooseReplica(session &Session, base::time_point Now);
@@ -135,7 +138,7 @@
   void sendStatement(session &Session, connection &Connection,
                      base::time_point Now);
   void serveWaiting(base::time_point Now);
-  [[nodiscard]] bool hasIdleMatch(const session &Session) const;
+  [[nodiscard]] bool hasRoomAtPrimary(const session &Session) const;
   void setWake(session &Session, base::time_point At);
   void operationDue(session &Session, base::time_point Now);
 
@@ -194,6 +197,9 @@
   detail::store_calls Store;
   detail::backend_pool Pool;
   detail::fleet_members Members;
+  detail::fleet_limits Limits;
+  /// Hosts for which the groups' parts were last assigned.
+  std::uint64_t HostsVersion = 0;
   catalog_ptr Catalog;
   std::map<base::instance_id, instance_view> Instances;
   std::map<base::group_id, std::unique_ptr<supervisor>> Groups;
--- a/packages/sessions/src/backend_pool.cpp
+++ b/packages/sessions/src/backend_pool.cpp
@@ -10,7 +10,10 @@
 /// instance can be used and asked for its status. With so many hosts that this
 /// exceeds the limit, connections are opened for use and not kept.
 constexpr std::size_t SmallestPart = 2;
-constexpr base::duration IdleWithoutPart = std::chrono::milliseconds(150);
+/// A client that has received an answer may send its next statement meanwhile.
+constexpr base::duration IdleWithoutPart = std::chrono::milliseconds(50);
+/// A connection for status calls is kept until a prober's next call.
+constexpr base::duration IdleControl = std::chrono::milliseconds(650);
 constexpr std::size_t PartWithoutLimit = 16;
 /// Connections above this host's part while the instance has room: load differs
 /// between hosts, and few hosts need them at a time.
@@ -117,6 +120,16 @@
   return HasRoom ? pool_room::Open : pool_room::Full;
 }
 
+bool backend_pool::hasRoomFor(const base::instance_id &Instance,
+                              const base::account_id &Account) const {
+  auto Entry = Instances.find(Instance);
+  if (Entry == Instances.end())
+    return false;
+  const instance_state &State = Entry->second;
+  return State.Connections.size() < softLimit(State.Listing.Group) ||
+         room(Instance, Account) == pool_room::Idle;
+}
+
 std::size_t backend_pool::busy(const base::instance_id &Instance) const {
   auto Entry = Instances.find(Instance);
   if (Entry == Instances.end())
@@ -181,6 +194,7 @@
 
 void backend_pool::release(backend_connection &Connection,
                            base::time_point Now) {
+  Connection.WasControl = Connection.Use == connection_use::Control;
   Connection.Use = connection_use::Idle;
   Connection.Session.reset();
   Connection.IdleSince = Now;
@@ -271,17 +285,34 @@
   for (auto &[Instance, State] : Instances) {
     auto Limit = Limits.find(State.Listing.Group);
     bool AreKept = Limit == Limits.end() || Limit->second.AreKept;
-    std::size_t Kept = AreKept ? softLimit(State.Listing.Group) : 0;
-    base::duration Lifetime = AreKept ? IdleAbovePart : IdleWithoutPart;
-    while (State.Connections.size() > Kept) {
+    if (!AreKept) {
+      trimUnkept(State, Now);
+      continue;
+    }
+    while (State.Connections.size() > softLimit(State.Listing.Group)) {
       backend_connection *Idle = oldestIdle(State);
-      if (!Idle || Now < Idle->IdleSince + Lifetime)
+      if (!Idle || Now < Idle->IdleSince + IdleAbovePart)
         break;
       discard(Idle->Number);
     }
   }
 }
 
+void backend_pool::trimUnkept(const instance_state &State,
+                              base::time_point Now) {
+  std::vector<backend_number> Unused;
+  for (backend_number Number : State.Connections) {
+    const backend_connection &Connection = Connections.at(Number);
+    base::duration Lifetime =
+        Connection.WasControl ? IdleControl : IdleWithoutPart;
+    if (Connection.Use == connection_use::Idle &&
+        Now >= Connection.IdleSince + Lifetime)
+      Unused.push_back(Number);
+  }
+  for (backend_number Number : Unused)
+    discard(Number);
+}
+
 base::json backend_pool::dump() const {
   base::json Result = base::json::object();
   for (const auto &[Instance, State] : Instances)
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -14,6 +14,10 @@
 /// After the first start the table is read again soon, since all hosts start
 /// together.
 constexpr base::duration EarlyInterval = std::chrono::milliseconds(1500);
+/// Hosts of each failure domain that ask the instances of a group for its
+/// primary; the others ask these hosts, since a status call occupies a slot and
+/// a connection of the instance. Enough that some are left when half are down.
+constexpr std::size_t ProbersPerDomain = 8;
 /// Hosts that may promote in a group. Enough that some are left when a failure
 /// domain is cut off and half of the hosts are down.
 constexpr std::size_t MaxPromoters = 8;
@@ -25,43 +29,64 @@
 
 fleet_members::fleet_members(const engine_options &Options, store_calls &Store,
                              coordination_port &Port, event_log &Log)
-    : Options(Options), Store(Store), Port(Port), Log(Log),
-      Random(Options.RandomSeed) {}
-
-void fleet_members::setCatalog(const catalog_ptr &Catalog,
-                               base::time_point Now) {
-  Limits = Catalog->Limits;
-  Limiter.configure(Limits, Part, Now);
-}
+    : Options(Options), Store(Store), Port(Port), Log(Log) {}
 
 std::size_t fleet_members::size() const {
   bool HasSelf = Members.contains(Options.Host.str());
   return Members.size() + (HasSelf ? 0 : 1);
 }
 
-fleet_size fleet_members::sizeFor(const base::group_id &Group) const {
-  std::set<std::string> Domains{Options.Domain.str()};
-  std::vector<std::string> Names{Options.Host.str()};
-  for (const auto &[Name, Member] : Members) {
-    Domains.insert(Member.Domain);
+hosts_by_domain fleet_members::hosts() const {
+  hosts_by_domain Result;
+  for (const auto &[Name, Member] : Members)
     if (Name != Options.Host.str())
-      Names.push_back(Name);
+      Result[Member.Domain].push_back(Name);
+  Result[Options.Domain.str()].push_back(Options.Host.str());
+  return Result;
+}
+
+std::string fleet_members::addressOf(const std::string &Host) const {
+  auto Member = Members.find(Host);
+  return Member == Members.end() ? std::string() : Member->second.Address;
+}
+
+fleet_size fleet_members::sizeFor(const base::group_id &Group) const {
+  hosts_by_domain Hosts = hosts();
+  std::vector<std::string> Domains;
+  for (auto &[Domain, Names] : Hosts) {
+    Domains.push_back(Domain);
+    Names = base::rendezvousOrder(Group.str(), Names);
+    Names.resize(std::min(Names.size(), ProbersPerDomain));
   }
+  Domains = base::rendezvousOrder(Group.str(), Domains);
+
   fleet_size Result;
-  Result.Hosts = size();
-  Result.Domains = Domains.size();
-  Result.IsPromoter = false;
-  std::vector<std::string> Order = base::rendezvousOrder(Group.str(), Names);
-  Order.resize(std::min(Order.size(), MaxPromoters));
-  for (std::size_t Rank = 0; Rank < Order.size(); ++Rank) {
-    if (Order[Rank] == Options.Host.str()) {
-      Result.IsPromoter = true;
-      Result.PromotionDelay =
-          PromotionStagger * static_cast<std::int64_t>(Rank);
-    } else {
-      Result.Promoters.push_back(Members.at(Order[Rank]).Address);
-    }
+  Result.Voters = countHosts(Hosts);
+  Result.Domains = Hosts.size();
+  for (const std::string &Name : Hosts[Options.Domain.str()]) {
+    if (Name != Options.Host.str())
+      Result.Probers.push_back(addressOf(Name));
+    else
+      Result.IsProber = true;
   }
+  Result.IsFirstProber =
+      Hosts[Options.Domain.str()].front() == Options.Host.str();
+  // The first prober of each domain, then the second ones, and so on.
+  std::size_t Rank = 0;
+  for (std::size_t Index = 0; Index < ProbersPerDomain; ++Index)
+    for (const std::string &Domain : Domains) {
+      if (Index >= Hosts[Domain].size() || Rank == MaxPromoters)
+        continue;
+      const std::string &Name = Hosts[Domain][Index];
+      if (Name == Options.Host.str()) {
+        Result.IsPromoter = true;
+        Result.PromotionDelay =
+            PromotionStagger * static_cast<std::int64_t>(Rank);
+      } else {
+        Result.Promoters.push_back(addressOf(Name));
+      }
+      ++Rank;
+    }
   return Result;
 }
 
@@ -70,8 +95,6 @@
     IsRenewing = false;
   if (!IsRenewing && Now >= NextRenewalAt)
     renew(Now);
-  updateShare(Now);
-  askForTokens(Now);
 }
 
 void fleet_members::renew(base::time_point Now) {
@@ -143,8 +166,15 @@
   if (Current.size() != Members.size())
     Log.belief("fleet size changed",
                {{"hosts", Current.size()}, {"before", Members.size()}});
+  bool AreHostsSame = std::ranges::equal(
+      Current, Members, [](const auto &Left, const auto &Right) {
+        return Left.first == Right.first &&
+               Left.second.Domain == Right.second.Domain &&
+               Left.second.Address == Right.second.Address;
+      });
+  if (!AreHostsSame)
+    ++HostsVersion;
   Members = std::move(Current);
-  updateShare(Now);
 }
 
 void fleet_members::removeLapsed(base::time_point Now) {
@@ -161,42 +191,9 @@
   }
 }
 
-void fleet_members::updateShare(base::time_point Now) {
-  bool HoldsShare =
-      RenewedAt && Now < *RenewedAt + Options.ShareLifetime && Now >= ShareFrom;
-  accounts::millionths NewPart =
-      HoldsShare ? accounts::WholeInMillionths /
-                       static_cast<accounts::millionths>(size())
-                 : 0;
-  if (NewPart == Part)
-    return;
-  Part = NewPart;
-  Limiter.configure(Limits, Part, Now);
-  Log.belief("share of limits changed", {{"millionths", Part}});
-}
-
-bool fleet_members::admit(const base::account_id &Account,
-                          base::time_point Now) {
-  bool IsAdmitted = Limiter.take(Account, Now);
-  askForTokens(Now);
-  return IsAdmitted;
-}
-
-const std::string *fleet_members::nextLender() {
-  std::size_t Count = Members.size();
-  for (std::size_t Try = 0; Try < Count; ++Try) {
-    auto Member = std::next(Members.begin(),
-                            static_cast<std::ptrdiff_t>(++LenderIndex % Count));
-    if (Member->first != Options.Host.str() && !Member->second.Address.empty())
-      return &Member->second.Address;
-  }
-  return nullptr;
-}
-
-void fleet_members::askForTokens(base::time_point Now) {
-  for (const accounts::token_transfer &Wish : Limiter.wishes(Now))
-    if (const std::string *Lender = nextLender())
-      send(token_wish{Wish}, *Lender);
+bool fleet_members::holdsShares(base::time_point Now) const {
+  return RenewedAt && Now < *RenewedAt + Options.ShareLifetime &&
+         Now >= ShareFrom;
 }
 
 void fleet_members::send(const peer_message &Message,
@@ -204,33 +201,8 @@
   Port.sendDatagram(Address, encodeDatagram({Options.PeerAddress, Message}));
 }
 
-std::vector<std::string> fleet_members::neighbours() const {
-  std::vector<std::string> Result;
-  for (const auto &[Name, Member] : Members)
-    if (Member.Domain == Options.Domain.str() && Name != Options.Host.str() &&
-        !Member.Address.empty())
-      Result.push_back(Member.Address);
-  return Result;
-}
-
-void fleet_members::receive(const token_wish &Wish, const std::string &ReplyTo,
-                            base::time_point Now) {
-  if (auto Gift = Limiter.lend(Wish.Transfer, Now))
-    send(token_gift{*Gift}, ReplyTo);
-}
-
-void fleet_members::receive(const token_gift &Gift, base::time_point Now) {
-  Limiter.receive(Gift.Transfer, Now);
-  DidTokensArrive = true;
-}
-
-bool fleet_members::takeTokensArrived() {
-  return std::exchange(DidTokensArrive, false);
-}
-
 base::json fleet_members::dump() const {
-  return {
-      {"hosts", size()}, {"part_millionths", Part}, {"limits", Limiter.dump()}};
+  return {{"hosts", size()}, {"hosts_version", HostsVersion}};
 }
 
 } // namespace radishrelay::sessions::detail
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -9,12 +9,33 @@
 /// After a session's last need of a proof, probes go on for so long, so that a
 /// lost primary is replaced before the next session comes.
 constexpr base::duration DemandLifetime = std::chrono::seconds(3);
-/// A proof is renewed this long before it runs out.
-constexpr base::duration RenewalTime = std::chrono::milliseconds(350);
-/// Other hosts of the failure domain answer within one round trip, below 1 ms.
-constexpr base::duration NeighbourPatience = std::chrono::milliseconds(8);
+/// A prober renews its proof this long before it runs out, and offers it until
+/// then: the time of a status call on a busy instance.
+constexpr base::duration RenewalTime = std::chrono::milliseconds(150);
+/// A proof is not offered so shortly before its renewal: the hosts that ask for
+/// it would have to ask again at once.
+constexpr base::duration OfferMargin = std::chrono::milliseconds(20);
+/// A host that does not probe asks for a proof this long before its own runs
+/// out: the time for a statement to reach the instance.
+constexpr base::duration PassiveRenewalTime = std::chrono::milliseconds(30);
+/// The same on a host that does not probe: an operation that waits for a proof
+/// renews its wish more often.
+constexpr base::duration PassiveDemandLifetime = std::chrono::milliseconds(60);
+/// The first prober answers within a probe over a new connection.
+constexpr base::duration OfferPatience = std::chrono::milliseconds(40);
 constexpr base::duration AskInterval = std::chrono::milliseconds(100);
-constexpr std::size_t AskedNeighbours = 2;
+/// The same on a host that does not probe, whose operations wait meanwhile:
+/// twice the time of a probe over a new connection.
+constexpr base::duration PassiveAskInterval = std::chrono::milliseconds(30);
+/// Probers asked at once: the first, whose proofs most hosts share, and another
+/// in case the first is down.
+constexpr std::size_t AskedProbers = 2;
+/// A wish that could not be answered is dropped after the time of one probe.
+constexpr base::duration WishLifetime = std::chrono::milliseconds(200);
+/// More than the hosts of one failure domain.
+constexpr std::size_t MaxWishes = 256;
+/// An instance that answered a status call so recently is asked alone.
+constexpr base::duration ReachedLifetime = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -78,32 +99,66 @@
   seekProof(Now);
 }
 
+base::duration group_supervisor::demandLifetime() const {
+  return Size.IsProber ? DemandLifetime : PassiveDemandLifetime;
+}
+
 void group_supervisor::seekProof(base::time_point Now) {
-  if (IsProbing || Now >= WantedAt + DemandLifetime)
+  if (Now >= WantedAt + demandLifetime())
     return;
-  bool IsProvedLonger = Leadership.isProved(Now + RenewalTime);
-  if (!isPrimaryDoubted() && !IsProvedLonger && Now >= NextAskAt)
-    askNeighbours(Now);
-  bool AreNeighboursAwaited = NeighboursUntil && Now < *NeighboursUntil;
-  if (!AreNeighboursAwaited && Now >= NextProbeAt && isProbeNeeded(Now))
+  bool IsProvedLonger = Leadership.isProved(
+      Now + (Size.IsProber ? RenewalTime : PassiveRenewalTime));
+  bool IsOfferUseful =
+      Size.IsProber ? !Size.IsFirstProber && !IsProbing && !isPrimaryDoubted()
+                    : !isPrimarySilent();
+  if (IsOfferUseful && !IsProvedLonger && Now >= NextAskAt)
+    askProbers(Now);
+  bool AreOffersAwaited = OffersUntil && Now < *OffersUntil;
+  if (!IsProbing && !AreOffersAwaited && Now >= NextProbeAt &&
+      isProbeNeeded(Now))
     startProbe(Now);
 }
 
-void group_supervisor::askNeighbours(base::time_point Now) {
-  NextAskAt = Now + AskInterval;
-  std::vector<std::string> Neighbours = Fleet.neighbours();
-  std::size_t Count = std::min(AskedNeighbours, Neighbours.size());
-  if (Count == 0)
+void group_supervisor::askProbers(base::time_point Now) {
+  NextAskAt = Now + (Size.IsProber ? AskInterval : PassiveAskInterval);
+  const std::vector<std::string> &Probers = Size.Probers;
+  if (Probers.empty())
     return;
-  NeighboursUntil = Now + NeighbourPatience;
-  for (std::size_t Index = 0; Index < Count; ++Index)
+  OffersUntil = Now + OfferPatience;
+  Fleet.send(proof_wish{Group, Now}, Probers.front());
+  for (std::size_t Count = 1; Count < std::min(AskedProbers, Probers.size());
+       ++Count)
     Fleet.send(proof_wish{Group, Now},
-               Neighbours.at(++NeighbourIndex % Neighbours.size()));
+               Probers[1 + ++ProberIndex % (Probers.size() - 1)]);
+}
+
+void group_supervisor::receive(const proof_wish &Wish,
+                               const std::string &ReplyTo,
+                               base::time_point Now) {
+  if (std::optional<proof_offer> Offer = offer(Wish, Now)) {
+    Fleet.send(*Offer, ReplyTo);
+    return;
+  }
+  if (!Size.IsProber)
+    return;
+  if (Wishes.size() < MaxWishes)
+    Wishes.push_back({Wish, ReplyTo, Now});
+  wantProof(Now);
+}
+
+void group_supervisor::answerWishes(base::time_point Now) {
+  std::erase_if(Wishes, [&](const open_wish &Open) {
+    std::optional<proof_offer> Offer = offer(Open.Wish, Now);
+    if (Offer)
+      Fleet.send(*Offer, Open.ReplyTo);
+    return Offer || Now >= Open.ReceivedAt + WishLifetime;
+  });
 }
 
 std::optional<proof_offer> group_supervisor::offer(const proof_wish &Wish,
                                                    base::time_point Now) const {
-  bool IsOfUse = !isPrimaryDoubted() && Leadership.isProved(Now + RenewalTime);
+  bool IsOfUse = !isPrimaryDoubted() &&
+                 Leadership.isProved(Now + RenewalTime + OfferMargin);
   if (!IsOfUse)
     return std::nullopt;
   proof_offer Offer;
@@ -122,9 +177,12 @@
 bool group_supervisor::receive(const proof_offer &Offer, base::time_point Now) {
   base::time_point ProvedAt = Offer.AskedAt - Offer.Age;
   bool IsNewer = ProvedAt > Leadership.provedAt();
-  // Doubts of this host go before what another believes.
-  if (isPrimaryDoubted() || Offer.Age < base::duration::zero() ||
-      Offer.AskedAt > Now)
+  // A prober settles its doubts itself. Other hosts take a proof that is newer
+  // than the failure they have seen.
+  bool IsDoubted = Size.IsProber
+                       ? isPrimaryDoubted()
+                       : isPrimarySilent() || ProvedAt <= FirstFailureAt;
+  if (IsDoubted || Offer.Age < base::duration::zero() || Offer.AskedAt > Now)
     return false;
   Leadership.noteProof(Offer.Primary, Offer.Term, ProvedAt);
   if (Offer.Position)
@@ -134,13 +192,51 @@
     return false;
   if (IsNewer)
     noteProved(Now);
-  NeighboursUntil.reset();
+  if (Leadership.isProved(Now + RenewalTime))
+    OffersUntil.reset();
   return true;
 }
 
 bool group_supervisor::isProbeNeeded(base::time_point Now) const {
-  bool IsWanted = Now < WantedAt + DemandLifetime;
-  return IsWanted && (isPrimaryDoubted() || !Leadership.isProved(Now));
+  if (Now >= WantedAt + demandLifetime())
+    return false;
+  // Hosts that do not probe only look whether they reach the primary again.
+  if (!Size.IsProber)
+    return isPrimaryDoubted() && Leadership.primary();
+  return isPrimaryDoubted() || !Leadership.isProved(Now + RenewalTime);
+}
+
+bool group_supervisor::isReached(const base::instance_id &Instance,
+                                 base::time_point Now) const {
+  auto Dated = Leadership.conditions().find(Instance);
+  return Dated != Leadership.conditions().end() &&
+         Now <= Dated->second.SentAt + ReachedLifetime;
+}
+
+std::vector<base::instance_id>
+group_supervisor::probeTargets(base::time_point Now) const {
+  std::vector<base::instance_id> All;
+  for (const auto &[Instance, Member] : Members)
+    All.push_back(Instance);
+  const std::optional<base::instance_id> &Primary = Leadership.primary();
+  if (!Primary)
+    return All;
+  if (!Size.IsProber && !Size.IsPromoter)
+    return {*Primary};
+  if (isPrimaryDoubted() || isPrimaryLeaving())
+    return All;
+  // The primary and one replica prove it; calls within the domain are cheap.
+  std::optional<base::instance_id> Confirming;
+  for (const auto &[Instance, Member] : Members) {
+    bool IsNear = Member.Listing.Domain == Options.Domain;
+    bool IsCandidate =
+        Instance != *Primary && Member.IsListed && isReached(Instance, Now);
+    if (IsCandidate && (!Confirming || IsNear))
+      Confirming = Instance;
+  }
+  if (!Confirming)
+    return All;
+  return {*Primary, *Confirming};
 }
 
 void group_supervisor::startProbe(base::time_point Now) {
@@ -149,7 +245,7 @@
   NextProbeAt = Now + Options.ProbeInterval;
   backend_request Status;
   Status.Verb = backend_verb::Status;
-  for (const auto &[Instance, Member] : Members)
+  for (const base::instance_id &Instance : probeTargets(Now))
     Pool.call(Instance, CallAccount, Status, Now);
 }
 
@@ -164,10 +260,11 @@
   NextProbeAt = std::max(NextProbeAt, Now);
 }
 
-void group_supervisor::noteProved(base::time_point) {
+void group_supervisor::noteProved(base::time_point Now) {
   IsProbing = false;
   FailedProbes = 0;
   FirstFailureAt = {};
+  answerWishes(Now);
   if (LoggedPrimary == Leadership.primary() && LoggedTerm == Leadership.term())
     return;
   LoggedPrimary = Leadership.primary();
@@ -216,6 +313,15 @@
   promotion_actions Actions;
   Promotion.instanceAnswered(Instance, Condition, Now, Actions);
   perform(Actions, Now);
+  bool IsReachable = !Size.IsProber && IsProbing &&
+                     Leadership.primary() == Instance &&
+                     Condition.Role == groups::instance_role::Primary;
+  if (IsReachable) {
+    // Its proof has to come from a prober, asked from now on.
+    IsProbing = false;
+    FailedProbes = 0;
+    NextAskAt = Now;
+  }
   bool IsProved = Leadership.isProved(Now) &&
                   Leadership.provedAt() >= ProbeStartedAt &&
                   Leadership.provedAt() >= FirstFailureAt;
@@ -250,10 +356,12 @@
   if (IsProbing)
     Wake = std::min(Wake, ProbeStartedAt + Options.StatusTimeout);
   else if (isProbeNeeded(Now))
-    Wake = std::min(Wake, std::max(NextProbeAt, NeighboursUntil.value_or(Now)));
-  else if (Now < WantedAt + DemandLifetime)
+    Wake = std::min(Wake, std::max(NextProbeAt, OffersUntil.value_or(Now)));
+  else if (Size.IsProber && Now < WantedAt + DemandLifetime)
     Wake = std::min(Wake, Leadership.provedAt() + Options.LeaseDuration -
                               RenewalTime);
+  else if (Now < WantedAt + demandLifetime() && !Leadership.isProved(Now))
+    Wake = std::min(Wake, NextAskAt);
   if (ReplaceSince)
     Wake = std::min(Wake, *ReplaceSince + Size.PromotionDelay);
   if (isSuspected(Now))
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -7,8 +7,6 @@
 
 /// A failed write may be a lost answer; two without a success between are not.
 constexpr std::uint32_t WriteTimeoutsToSuspect = 2;
-/// An instance that answered a status call so recently can be fenced.
-constexpr base::duration ReachedLifetime = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -32,15 +30,14 @@
   // A host that does not reach enough instances would hold the claim in vain.
   std::size_t Reached = 0;
   for (const auto &[Instance, Dated] : Leadership.conditions())
-    if (Now <= Dated.SentAt + ReachedLifetime)
+    if (isReached(Instance, Now))
       ++Reached;
   return Reached + 1 >= Members.size();
 }
 
 bool group_supervisor::doesPrimaryLead(base::time_point Now) const {
   auto Dated = Leadership.conditions().find(*Leadership.primary());
-  return Dated != Leadership.conditions().end() &&
-         Now <= Dated->second.SentAt + ReachedLifetime &&
+  return isReached(*Leadership.primary(), Now) &&
          Dated->second.Condition.Role == groups::instance_role::Primary &&
          Dated->second.Condition.Term == Leadership.highestTerm();
 }
@@ -54,7 +51,7 @@
     HasVoted = false;
     return;
   }
-  if (!IsLeaving && Now >= NextVoteAt)
+  if (!IsLeaving && Size.IsProber && Now >= NextVoteAt)
     castVote(Now);
   bool IsDue = IsLeaving || Votes.isAgreed(Leadership.highestTerm(), Size, Now);
   if (!IsDue || !Size.IsPromoter)
--- a/packages/sessions/src/promotion_votes.cpp
+++ b/packages/sessions/src/promotion_votes.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// One vote of so many hosts is needed.
-constexpr std::size_t HostsPerVote = 4;
+/// One vote of so many voters is needed.
+constexpr std::size_t VotersPerVote = 4;
 constexpr std::size_t NeededDomains = 2;
 
 } // namespace
@@ -29,7 +29,7 @@
     Domains.insert(Counted.Vote.Domain);
   }
   return Domains.size() >= std::min(NeededDomains, Size.Domains) &&
-         Count * HostsPerVote >= Size.Hosts;
+         Count * VotersPerVote >= Size.Voters;
 }
 
 } // namespace radishrelay::sessions::detail
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -16,7 +16,8 @@
                                client_port &Clients, backend_port &Backends,
                                coordination_port &Coordination, event_log &Log)
     : Options(Options), Clients(Clients), Log(Log), Store(Coordination),
-      Pool(Options, Backends), Members(Options, Store, Coordination, Log) {}
+      Pool(Options, Backends), Members(Options, Store, Coordination, Log),
+      Limits(Options, Members, Log) {}
 
 bool session_engine::isReady() const {
   return Catalog && !Instances.empty() && !IsDraining;
@@ -31,7 +32,7 @@
               {"before", Catalog ? Catalog->Version : 0},
               {"routes", NewCatalog->Routes.size()}});
   Catalog = std::move(NewCatalog);
-  Members.setCatalog(Catalog, Now);
+  Limits.setCatalog(Catalog, Now);
   updateGroups(Now);
 }
 
@@ -77,6 +78,8 @@
   std::map<base::instance_id, instance_listing> List;
   for (const auto &[Instance, View] : Instances)
     List.emplace(Instance, View.Listing);
+  bool HaveHostsChanged = HostsVersion != Members.hostsVersion();
+  HostsVersion = Members.hostsVersion();
   for (const auto &[Id, Settings] : Catalog->Groups) {
     auto [Entry, IsNew] = Groups.try_emplace(Id);
     if (IsNew) {
@@ -87,7 +90,8 @@
     Entry->second->setSettings(Settings);
     if (!Catalog->Limits.empty())
       Entry->second->setCallAccount(Catalog->Limits.begin()->first);
-    Entry->second->setFleet(Members.sizeFor(Id));
+    if (IsNew || HaveHostsChanged)
+      Entry->second->setFleet(Members.sizeFor(Id));
     Pool.setLimit(Id, Settings.ConnectionLimit, Members.size());
   }
 }
@@ -156,9 +160,8 @@
 void session_engine::storeAnswered(store_call_number Call,
                                    const base::store_answer &Answer,
                                    base::time_point Now) {
-  std::size_t HostsBefore = Members.size();
   Store.answered(Call, Answer, Now);
-  if (Members.size() != HostsBefore)
+  if (Members.hostsVersion() != HostsVersion)
     updateGroups(Now);
 }
 
@@ -176,15 +179,15 @@
     return;
   }
   if (const auto *Wish = std::get_if<detail::token_wish>(&Datagram->Message)) {
-    Members.receive(*Wish, Datagram->ReplyTo, Now);
+    Limits.receive(*Wish, Datagram->ReplyTo, Now);
   } else if (const auto *Gift =
                  std::get_if<detail::token_gift>(&Datagram->Message)) {
-    Members.receive(*Gift, Now);
+    Limits.receive(*Gift, Datagram->ReplyTo, Now);
   } else if (const auto *Ask =
                  std::get_if<detail::proof_wish>(&Datagram->Message)) {
     supervisor *Group = groupOf(Ask->Group);
-    if (auto Offer = Group ? Group->offer(*Ask, Now) : std::nullopt)
-      Members.send(*Offer, Datagram->ReplyTo);
+    if (Group)
+      Group->receive(*Ask, Datagram->ReplyTo, Now);
   } else if (const auto *Vote =
                  std::get_if<detail::promotion_vote>(&Datagram->Message)) {
     if (supervisor *Group = groupOf(Vote->Group))
@@ -220,7 +223,8 @@
   for (auto &[Id, Group] : Groups)
     Group->advance(Now);
   Members.advance(Now);
-  if (Members.takeTokensArrived())
+  Limits.advance(Now);
+  if (Limits.takeNews())
     for (auto &[Number, Session] : Sessions)
       if (Session.Current && Session.Current->Stage == stage::AwaitingToken)
         advanceOperation(Session, Now);
@@ -253,7 +257,8 @@
 }
 
 base::time_point session_engine::nextWake(base::time_point Now) const {
-  base::time_point Wake = std::min(NextTrimAt, Members.nextWake());
+  base::time_point Wake =
+      std::min({NextTrimAt, Members.nextWake(), Limits.nextWake()});
   if (!Wakes.empty())
     Wake = std::min(Wake, Wakes.begin()->first);
   Wake = std::min(Wake, Pool.nextDeadline());
@@ -339,6 +344,7 @@
   Result["draining"] = IsDraining;
   Result["instances"] = Pool.dump();
   Result["fleet"] = Members.dump();
+  Result["limits"] = Limits.dump();
   for (const auto &[Id, Group] : Groups)
     Result["groups"][Id.str()] = Group->dump();
   return Result;
--- a/packages/sessions/src/session_routing.cpp
+++ b/packages/sessions/src/session_routing.cpp
@@ -20,7 +20,7 @@
 constexpr double FirstReadMicroseconds = 20'000;
 /// Wait for a token of the account's limit, as part of the latency target.
 constexpr int TokenWaitDivisor = 4;
-/// Time in which a loan of tokens arrives from another host.
+/// Shortest time that is left for a loan of tokens from another host.
 constexpr base::duration LoanWait = std::chrono::milliseconds(25);
 /// How long a waiting operation leaves connections of other accounts alone.
 constexpr base::duration MatchPatience = std::chrono::milliseconds(40);
@@ -41,7 +41,7 @@
 
 void session_engine::takeToken(session &Session, base::time_point Now) {
   operation &Operation = *Session.Current;
-  if (!Operation.NeedsToken || Members.admit(Session.Account, Now)) {
+  if (!Operation.NeedsToken || Limits.admit(Session.Account, Now)) {
     Operation.NeedsToken = false;
     Operation.Stage = stage::AwaitingInstance;
     bool IsBegin = Operation.Statement.Kind == statement_kind::Begin ||
@@ -55,17 +55,29 @@
   base::time_point Limit =
       Operation.ReceivedAt +
       std::max(LoanWait, Session.Route.TargetLatency / TokenWaitDivisor);
-  base::time_point Next = Members.nextTokenAt(Session.Account);
-  base::time_point LoanBy = Operation.ReceivedAt + LoanWait;
-  if (Next > Limit && Now >= LoanBy) {
+  base::time_point Next = Limits.nextTokenAt(Session.Account);
+  bool IsExhausted = Limits.isExhausted(Session.Account, Operation.ReceivedAt);
+  if (!IsExhausted && Now < Limit) {
+    Limits.borrow(Session.Account, countAwaitingToken(Session.Account), Now);
+    IsExhausted = Limits.isExhausted(Session.Account, Operation.ReceivedAt);
+  }
+  if (Now >= Limit || (IsExhausted && Next > Limit)) {
     ++Counters.RateExceeded;
     answerError(Session, refusal::TooMany,
                 "the rate of the client account is exceeded", Now);
     return;
   }
   constexpr base::duration Tick = std::chrono::milliseconds(1);
-  setWake(Session,
-          std::max(std::min(Next, std::max(LoanBy, Now + Tick)), Now + Tick));
+  setWake(Session, std::max(std::min(Next, Limit), Now + Tick));
+}
+
+std::int64_t
+session_engine::countAwaitingToken(const base::account_id &Account) const {
+  return std::ranges::count_if(Sessions, [&](const auto &Entry) {
+    const session &Session = Entry.second;
+    return Session.Current && Session.Current->Stage == stage::AwaitingToken &&
+           Session.Account == Account;
+  });
 }
 
 bool session_engine::needsPrimary(const session &Session) const {
@@ -369,19 +381,18 @@
           Entry->second.Current->Stage != stage::AwaitingInstance)
         continue;
       bool IsPatient = Now < Entry->second.Current->ReceivedAt + MatchPatience;
-      if (IsMatchOnly ? !hasIdleMatch(Entry->second) : IsPatient)
+      if (IsMatchOnly ? !hasRoomAtPrimary(Entry->second) : IsPatient)
         continue;
       chooseInstance(Entry->second, Now);
     }
 }
 
-bool session_engine::hasIdleMatch(const session &Session) const {
+bool session_engine::hasRoomAtPrimary(const session &Session) const {
   auto Group = Groups.find(Session.Route.Group);
   if (Group == Groups.end())
     return false;
   const auto &Primary = Group->second->leadership().primary();
-  return Primary &&
-         Pool.room(*Primary, Session.Account) == detail::pool_room::Idle;
+  return Primary && Pool.hasRoomFor(*Primary, Session.Account);
 }
 
 } // namespace radishrelay::sessions
--- a/packages/sessions/tests/engine_reads_test.cpp
+++ b/packages/sessions/tests/engine_reads_test.cpp
@@ -77,6 +77,8 @@
 
 BOOST_AUTO_TEST_CASE(asks_for_a_position_that_is_young_enough) {
   written_fleet Fleet;
+  Fleet.run(IdleTime); // evidence from before the next write is too old
+  Fleet.ask(Fleet.connect("primary"), "write x 2");
   Fleet.send(Fleet.connect("bounded"), "read x");
   BOOST_REQUIRE(Fleet.held().size() == 1U);
   BOOST_REQUIRE(Fleet.held()[0].Request.After.has_value());
@@ -85,7 +87,7 @@
 
 BOOST_AUTO_TEST_CASE(asks_the_primary_when_all_evidence_is_too_old) {
   written_fleet Fleet;
-  Fleet.run(1600ms);
+  Fleet.run(IdleTime);
   BOOST_TEST(Fleet.ask(Fleet.connect("bounded"), "read x").Receipt ==
              "receipt:p");
 }
--- a/packages/sessions/tests/members_test.cpp
+++ b/packages/sessions/tests/members_test.cpp
@@ -52,6 +52,22 @@
   }
 };
 
+/// A fleet with so many hosts in the failure domain that this one does not ask
+/// the instances itself.
+struct crowded_fleet : neighbour_fleet {
+  crowded_fleet() {
+    for (int Index = 3; Index < 60; ++Index) {
+      std::string Name = "h" + std::to_string(Index);
+      Rows[{"members", Name}] = {{"members", Name},
+                                 1000U + static_cast<unsigned>(Index),
+                                 {{"domain", "b"}, {"address", Name + ":1"}}};
+    }
+    run(9000ms); // until the table of members is read again
+    Datagrams.clear();
+    Requests.clear();
+  }
+};
+
 int served(fake_fleet &Fleet, int Count) {
   session_number Session = Fleet.connect("primary");
   int Served = 0;
@@ -82,7 +98,7 @@
 BOOST_AUTO_TEST_CASE(which_shrinks_when_another_host_joins) {
   neighbour_fleet Fleet;
   base::json State = Fleet.engine().dump();
-  BOOST_TEST(State["fleet"]["part_millionths"] == 500000);
+  BOOST_TEST(State["limits"]["t1"]["part_millionths"] == 500000);
 }
 
 BOOST_AUTO_TEST_CASE(and_removes_hosts_that_have_not_renewed_their_row) {
@@ -144,6 +160,44 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(in_a_crowded_failure_domain)
+
+// A hundred hosts that each ask the instances take all their connections.
+BOOST_AUTO_TEST_CASE(asks_a_few_hosts_and_no_instance_for_the_primary) {
+  crowded_fleet Fleet;
+  Fleet.send(Fleet.connect("primary"), "read x");
+  Fleet.run(100ms);
+  BOOST_TEST(Fleet.statusCalls() == 0U);
+  BOOST_TEST(Fleet.held().empty());
+  Fleet.offer(100ms);
+  BOOST_TEST(Fleet.held().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(asks_for_a_proof_only_while_an_operation_needs_one) {
+  crowded_fleet Fleet;
+  Fleet.run(3000ms);
+  BOOST_TEST(Fleet.Datagrams.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_probes)
+
+BOOST_AUTO_TEST_CASE(answers_a_wish_once_the_primary_is_proved) {
+  fake_fleet Fleet;
+  Fleet.run(5000ms);
+  Fleet.engine().datagramReceived(
+      encodeDatagram({"h2:1", proof_wish{base::group_id("g"), Fleet.now()}}),
+      Fleet.now());
+  Fleet.run(10ms);
+  BOOST_REQUIRE(!Fleet.Datagrams.empty());
+  BOOST_TEST(Fleet.Datagrams.back().first == "h2:1");
+  auto Sent = decodeDatagram(Fleet.Datagrams.back().second);
+  BOOST_TEST(std::holds_alternative<proof_offer>(Sent->Message));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ignores_a_datagram)
 
 BOOST_AUTO_TEST_CASE(that_it_cannot_read) {
