Let two hosts of each failure domain watch the store for the others

Change: watchers wait at the store's feed for changes of the configuration and the instances and report versions with the age of their confirmation by datagram; other hosts read when a report names something newer, or when nothing has confirmed what they know for 2.3 s. The list of instances is read by the feed as well. Failed reads back off up to 1.6 s. Entries that lapsed in an outage are dropped in time without another read.

--- a/packages/daemon/include/radishrelay/daemon/service_threads.h
+++ b/packages/daemon/include/radishrelay/daemon/service_threads.h
@@ -6,6 +6,7 @@
 #include "radishrelay/sessions/event_log.h"
 #include "radishrelay/sessions/fleet_services.h"
 #include "radishrelay/sessions/numbers.h"
+#include "radishrelay/sessions/read_times.h"
 
 #include <atomic>
 #include <functional>
@@ -14,11 +15,14 @@
 
 namespace radishrelay::daemon {
 
+using sessions::read_times;
+
 /// Where the threads deliver what they have; called on the loop's thread.
 struct service_events {
-  std::function<void(sessions::catalog_ptr)> Catalog;
-  /// The instances, or a failure to read them.
-  std::function<void(base::expected<std::vector<sessions::instance_listing>>)>
+  /// Each with the time at which it was asked for and the time it waited.
+  std::function<void(base::expected<sessions::catalog_ptr>, read_times)>
+      Catalog;
+  std::function<void(base::expected<sessions::instance_reading>, read_times)>
       Instances;
   std::function<void(sessions::store_call_number, base::store_answer)> Answer;
   std::function<void(sessions::store_call_number, bool Accepted)> Promotion;
@@ -35,6 +39,9 @@
   service_threads(const service_threads &) = delete;
   service_threads &operator=(const service_threads &) = delete;
 
+  /// Starts a read, which waits up to \p Wait for a change.
+  void readCatalog(base::duration Wait);
+  void readInstances(base::duration Wait);
   /// Queues a call; false when too many wait.
   bool execute(sessions::store_call_number Call, base::store_request Request);
   bool promote(sessions::store_call_number Call, base::group_id Group,
@@ -55,11 +62,10 @@
     base::time_point Deadline;
   };
 
-  void followCatalog();
-  void followInstances();
+  void runCatalogReads();
+  void runInstanceReads();
   void runTableCalls();
   void runPromotions();
-  void pause(base::duration Time);
   void report(std::string_view Service, bool &WasLost,
               const base::failure &Failure);
 
@@ -67,6 +73,9 @@
   event_loop &Loop;
   service_events Events;
   std::atomic<bool> IsStopping{false};
+  /// Waits of the reads to start.
+  base::bounded_ring<base::duration> CatalogReads;
+  base::bounded_ring<base::duration> InstanceReads;
   base::bounded_ring<table_call> TableCalls;
   base::bounded_ring<promotion_call> PromotionCalls;
   std::vector<std::thread> Threads;
--- a/packages/daemon/include/radishrelay/daemon/session_daemon.h
+++ b/packages/daemon/include/radishrelay/daemon/session_daemon.h
@@ -69,6 +69,8 @@
   void promote(sessions::store_call_number Call, const base::group_id &Group,
                const base::instance_id &Instance,
                std::uint64_t Generation) override;
+  void readCatalog(base::duration Wait) override;
+  void readInstances(base::duration Wait) override;
   void sendDatagram(const std::string &Address,
                     const std::string &Bytes) override;
 
@@ -93,7 +95,6 @@
   /// Streams whose owner is gone; destroyed between two rounds of events.
   std::vector<std::unique_ptr<line_stream>> Closing;
   std::uint64_t LastSession = 0;
-  sessions::listing_memory Listings;
   sessions::session_engine Engine;
   std::unique_ptr<client_listener> Listener;
   std::unique_ptr<datagram_socket> Datagrams;
--- a/packages/daemon/src/service_threads.cpp
+++ b/packages/daemon/src/service_threads.cpp
@@ -4,19 +4,14 @@
 
 namespace {
 
-/// How long a call for the configuration may wait for a change. A connection
-/// that has gone silent hides a change for as long, which with the pause before
-/// the next call has to stay below the 4 s that a host has to recover in.
-constexpr base::duration CatalogWait = std::chrono::milliseconds(3400);
-constexpr base::duration CatalogRetry = std::chrono::milliseconds(200);
-/// Instances are read this often: a leaving one must be known well before the
-/// 7 s in which it may still get work have passed.
-constexpr base::duration InstancesInterval = std::chrono::milliseconds(2000);
-constexpr base::duration InstancesRetry = std::chrono::milliseconds(400);
-constexpr base::duration InstancesTimeout = std::chrono::milliseconds(1000);
+/// Time for the answer of a read beyond the time that it may wait for a change;
+/// a connection that has gone silent hides a change for as long.
+constexpr base::duration ReadTimeout = std::chrono::milliseconds(500);
 constexpr base::duration TableTimeout = std::chrono::milliseconds(1000);
 constexpr base::duration PromotionTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t MaxWaitingCalls = 256;
+/// The engine has one read of each source under way.
+constexpr std::size_t MaxWaitingReads = 2;
 /// Bounds how long a stop waits for an idle thread.
 constexpr base::duration StopCheck = std::chrono::milliseconds(500);
 
@@ -29,15 +24,18 @@
 service_threads::service_threads(sessions::fleet_services NewServices,
                                  event_loop &Loop, service_events Events)
     : Services(std::move(NewServices)), Loop(Loop), Events(std::move(Events)),
+      CatalogReads(MaxWaitingReads), InstanceReads(MaxWaitingReads),
       TableCalls(MaxWaitingCalls), PromotionCalls(MaxWaitingCalls) {
-  Threads.emplace_back([this] { followCatalog(); });
-  Threads.emplace_back([this] { followInstances(); });
+  Threads.emplace_back([this] { runCatalogReads(); });
+  Threads.emplace_back([this] { runInstanceReads(); });
   Threads.emplace_back([this] { runTableCalls(); });
   Threads.emplace_back([this] { runPromotions(); });
 }
 
 service_threads::~service_threads() {
   IsStopping = true;
+  CatalogReads.close();
+  InstanceReads.close();
   TableCalls.close();
   PromotionCalls.close();
   for (std::thread &Thread : Threads)
@@ -57,14 +55,6 @@
                                  in(PromotionTimeout)});
 }
 
-void service_threads::pause(base::duration Time) {
-  base::time_point End = in(Time);
-  while (!IsStopping && base::monotonic_clock::now() < End) {
-    base::duration Left = End - base::monotonic_clock::now();
-    std::this_thread::sleep_for(std::min(Left, StopCheck));
-  }
-}
-
 void service_threads::report(std::string_view Service, bool &WasLost,
                              const base::failure &Failure) {
   bool IsLost = static_cast<bool>(Failure);
@@ -74,27 +64,42 @@
   Loop.post([this, Service, Failure] { Events.Dependency(Service, Failure); });
 }
 
-void service_threads::followCatalog() {
+void service_threads::readCatalog(base::duration Wait) {
+  CatalogReads.tryPush(std::move(Wait));
+}
+
+void service_threads::readInstances(base::duration Wait) {
+  InstanceReads.tryPush(std::move(Wait));
+}
+
+void service_threads::runCatalogReads() {
   bool IsLost = false;
   while (!IsStopping) {
-    auto Catalog = Services.Catalog->next(in(CatalogWait));
+    std::optional<base::duration> Wait = CatalogReads.popUntil(in(StopCheck));
+    if (!Wait)
+      continue;
+    read_times Times{base::monotonic_clock::now(), *Wait};
+    auto Catalog = Services.Catalog->next(*Wait, in(*Wait + ReadTimeout));
     report("configuration", IsLost,
            Catalog ? base::failure{} : Catalog.error());
-    if (!Catalog)
-      pause(CatalogRetry);
-    else if (*Catalog)
-      Loop.post([this, New = *Catalog] { Events.Catalog(New); });
+    Loop.post([this, Times, Catalog = std::move(Catalog)] {
+      Events.Catalog(Catalog, Times);
+    });
   }
 }
 
-void service_threads::followInstances() {
+void service_threads::runInstanceReads() {
   bool IsLost = false;
   while (!IsStopping) {
-    auto List = Services.Instances->read(in(InstancesTimeout));
-    bool IsRead = List.hasValue();
-    report("instances", IsLost, IsRead ? base::failure{} : List.error());
-    Loop.post([this, List = std::move(List)] { Events.Instances(List); });
-    pause(IsRead ? InstancesInterval : InstancesRetry);
+    std::optional<base::duration> Wait = InstanceReads.popUntil(in(StopCheck));
+    if (!Wait)
+      continue;
+    read_times Times{base::monotonic_clock::now(), *Wait};
+    auto Reading = Services.Instances->next(*Wait, in(*Wait + ReadTimeout));
+    report("instances", IsLost, Reading ? base::failure{} : Reading.error());
+    Loop.post([this, Times, Reading = std::move(Reading)] {
+      Events.Instances(Reading, Times);
+    });
   }
 }
 
--- a/packages/daemon/src/session_daemon.cpp
+++ b/packages/daemon/src/session_daemon.cpp
@@ -143,15 +143,11 @@
 
 service_events session_daemon::serviceEvents() {
   service_events Events;
-  Events.Catalog = [this](sessions::catalog_ptr Catalog) {
-    Engine.setCatalog(std::move(Catalog), base::monotonic_clock::now());
+  Events.Catalog = [this](const auto &Catalog, const read_times &Times) {
+    Engine.catalogRead(Catalog, Times, base::monotonic_clock::now());
   };
-  Events.Instances = [this](auto List) {
-    base::time_point Now = base::monotonic_clock::now();
-    if (List)
-      Engine.setInstances(Listings.merge(std::move(*List), Now), Now);
-    else
-      Listings.noteFailure(Now);
+  Events.Instances = [this](const auto &Reading, const read_times &Times) {
+    Engine.instancesRead(Reading, Times, base::monotonic_clock::now());
   };
   Events.Answer = [this](auto Call, const base::store_answer &Answer) {
     Engine.storeAnswered(Call, Answer, base::monotonic_clock::now());
@@ -368,6 +364,14 @@
                     Generation);
 }
 
+void session_daemon::readCatalog(base::duration Wait) {
+  Services->readCatalog(Wait);
+}
+
+void session_daemon::readInstances(base::duration Wait) {
+  Services->readInstances(Wait);
+}
+
 void session_daemon::sendDatagram(const std::string &Address,
                                   const std::string &Bytes) {
   Datagrams->send(Address, Bytes);
--- a/packages/sessions/include/radishrelay/sessions/coordination_port.h
+++ b/packages/sessions/include/radishrelay/sessions/coordination_port.h
@@ -2,6 +2,7 @@
 #define RADISHRELAY_SESSIONS_COORDINATION_PORT_H
 
 #include "radishrelay/base/identifier.h"
+#include "radishrelay/base/monotonic_clock.h"
 #include "radishrelay/base/store_request.h"
 #include "radishrelay/sessions/numbers.h"
 
@@ -23,6 +24,12 @@
   virtual void promote(store_call_number Call, const base::group_id &Group,
                        const base::instance_id &Instance,
                        std::uint64_t Generation) = 0;
+  /// Reads the configuration, waiting up to \p Wait for a newer one; reports
+  /// through session_engine::catalogRead.
+  virtual void readCatalog(base::duration Wait) = 0;
+  /// Reads the list of instances, waiting up to \p Wait for a change; reports
+  /// through session_engine::instancesRead.
+  virtual void readInstances(base::duration Wait) = 0;
   /// Sends a datagram to another host, which may be lost.
   virtual void sendDatagram(const std::string &Address,
                             const std::string &Bytes) = 0;
--- a/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
@@ -26,8 +26,15 @@
                 coordination_port &Port, event_log &Log);
 
   void advance(base::time_point Now);
-  [[nodiscard]] base::time_point nextWake() const { return NextRenewalAt; }
+  [[nodiscard]] base::time_point nextWake() const;
   void send(const peer_message &Message, const std::string &Address);
+  /// Reports to the other hosts of the failure domain, with the digest of the
+  /// hosts that this one counts.
+  void sendToDomain(watch_report Report, base::time_point Now);
+  /// Takes what a watcher tells of the hosts.
+  void receive(const watch_report &Report, base::time_point Now);
+  /// Whether this host watches the store for its failure domain.
+  [[nodiscard]] bool isWatcher() const { return IsWatcher; }
 
   /// The hosts by failure domain, this one included.
   [[nodiscard]] hosts_by_domain hosts() const;
@@ -51,8 +58,13 @@
   };
 
   void renew(base::time_point Now);
-  void onRenewed(const base::store_answer &Answer, base::time_point Now);
-  void onRead(const base::store_answer &Answer, base::time_point Now);
+  void onRenewed(const base::store_answer &Answer, base::time_point SentAt,
+                 base::time_point Now);
+  void read(base::time_point Now);
+  [[nodiscard]] base::time_point nextReadAt() const;
+  void onRead(const base::store_answer &Answer, base::time_point SentAt,
+              base::time_point Now);
+  void noteHosts();
   void removeLapsed(base::time_point Now);
 
   engine_options Options;
@@ -64,7 +76,17 @@
   base::time_point NextRenewalAt;
   base::time_point RenewalSentAt;
   bool IsRenewing = false;
-  bool HasRead = false;
+  /// When the last successful read was sent.
+  std::optional<base::time_point> ReadAt;
+  base::time_point ReadSentAt;
+  base::time_point NextReadTryAt;
+  bool IsReading = false;
+  /// When a watcher has last confirmed the hosts that this one counts.
+  base::time_point ConfirmedAt;
+  /// A watcher counts other hosts.
+  bool IsBehind = false;
+  std::uint64_t HostsDigest = 0;
+  bool IsWatcher = false;
   /// When the own row was last renewed; the time at which that was asked for.
   std::optional<base::time_point> RenewedAt;
   base::time_point ShareFrom;
--- a/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
@@ -5,6 +5,7 @@
 #include "radishrelay/base/identifier.h"
 #include "radishrelay/base/monotonic_clock.h"
 #include "radishrelay/groups/log_position.h"
+#include "radishrelay/sessions/detail/watched_source.h"
 
 #include <optional>
 #include <string>
@@ -64,7 +65,7 @@
 };
 
 using peer_message = std::variant<token_wish, token_gift, proof_wish,
-                                  proof_offer, promotion_vote>;
+                                  proof_offer, promotion_vote, watch_report>;
 
 /// A message with the address that answers go to.
 struct peer_datagram {
--- a/packages/sessions/include/radishrelay/sessions/fleet_services.h
+++ b/packages/sessions/include/radishrelay/sessions/fleet_services.h
@@ -16,17 +16,32 @@
 class catalog_source {
 public:
   virtual ~catalog_source() = default;
-  /// Waits for a configuration that was not delivered yet; null when none came
-  /// before \p Deadline.
-  virtual base::expected<catalog_ptr> next(base::time_point Deadline) = 0;
+  /// Waits up to \p Wait for a configuration that was not delivered yet; null
+  /// when there is none.
+  virtual base::expected<catalog_ptr> next(base::duration Wait,
+                                           base::time_point Deadline) = 0;
+};
+
+/// The list of instances.
+struct instance_reading {
+  std::vector<instance_listing> List;
+  /// Version of the store up to which the list is known.
+  std::uint64_t Version = 0;
+  /// Version of the last change of the list, or a later one.
+  std::uint64_t ChangedVersion = 0;
+
+  friend bool operator==(const instance_reading &,
+                         const instance_reading &) = default;
 };
 
 /// Lists the instances. Blocking; used by one thread.
 class instance_source {
 public:
   virtual ~instance_source() = default;
-  virtual base::expected<std::vector<instance_listing>>
-  read(base::time_point Deadline) = 0;
+  /// Waits up to \p Wait for a change since the last call, then returns the
+  /// whole list.
+  virtual base::expected<instance_reading> next(base::duration Wait,
+                                                base::time_point Deadline) = 0;
 };
 
 /// The tables in which the fleet keeps what has to last. Blocking; used by one
--- a/packages/sessions/include/radishrelay/sessions/listing_memory.h
+++ b/packages/sessions/include/radishrelay/sessions/listing_memory.h
@@ -5,6 +5,8 @@
 #include "radishrelay/sessions/instance_listing.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace radishrelay::sessions {
@@ -18,11 +20,18 @@
   /// The list was read. Returns it with the entries that are still kept.
   std::vector<instance_listing> merge(std::vector<instance_listing> List,
                                       base::time_point Now);
-  /// The list could not be read.
-  void noteFailure(base::time_point Now);
+  /// Entries may have lapsed before the list that is merged next.
+  void noteAway() { IsAway = true; }
+  /// Returns the list once entries are no longer kept that were in no list
+  /// since.
+  std::optional<std::vector<instance_listing>> settle(base::time_point Now);
 
 private:
+  [[nodiscard]] std::vector<instance_listing> known() const;
+
   std::map<base::instance_id, instance_listing> Known;
+  /// The entries of Known that the last list lacked.
+  std::set<base::instance_id> Kept;
   bool IsAway = false;
   /// Until when missing entries are kept.
   base::time_point KeepUntil;
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -10,7 +10,11 @@
 #include "radishrelay/sessions/detail/fleet_members.h"
 #include "radishrelay/sessions/detail/group_supervisor.h"
 #include "radishrelay/sessions/detail/session_state.h"
+#include "radishrelay/sessions/detail/store_watch.h"
 #include "radishrelay/sessions/engine_counters.h"
+#include "radishrelay/sessions/fleet_services.h"
+#include "radishrelay/sessions/listing_memory.h"
+#include "radishrelay/sessions/read_times.h"
 
 #include <memory>
 #include <set>
@@ -43,6 +47,11 @@
   void backendLost(backend_number Connection, std::optional<refusal> Reason,
                    base::time_point Now);
 
+  /// A read of the configuration has ended; null when there is no newer one.
+  void catalogRead(const base::expected<catalog_ptr> &Reading,
+                   const read_times &Times, base::time_point Now);
+  void instancesRead(const base::expected<instance_reading> &Reading,
+                     const read_times &Times, base::time_point Now);
   void setCatalog(catalog_ptr NewCatalog, base::time_point Now);
   void setInstances(const std::vector<instance_listing> &List,
                     base::time_point Now);
@@ -188,16 +197,20 @@
                   base::time_point Now);
   supervisor *groupOf(const base::group_id &Group);
   void updateGroups(base::time_point Now);
+  void watchStore(base::time_point Now);
   connection *connectionOf(const session &Session);
   void remove(session_number Number, base::time_point Now);
 
   engine_options Options;
   client_port &Clients;
+  coordination_port &Coordination;
   event_log &Log;
   detail::store_calls Store;
   detail::backend_pool Pool;
   detail::fleet_members Members;
   detail::fleet_limits Limits;
+  detail::store_watch Watch;
+  listing_memory Listings;
   /// Hosts for which the groups' parts were last assigned.
   std::uint64_t HostsVersion = 0;
   catalog_ptr Catalog;
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -9,11 +9,21 @@
 namespace {
 
 constexpr const char *MembersTable = "members";
-/// A renewal that has no answer is asked for again.
-constexpr base::duration RenewalTimeout = std::chrono::seconds(2);
-/// After the first start the table is read again soon, since all hosts start
+/// A call that has no answer is made again.
+constexpr base::duration CallTimeout = std::chrono::seconds(2);
+/// Pause after a renewal or a read that failed, and between two reads.
+constexpr base::duration RenewalRetry = std::chrono::seconds(2);
+constexpr base::duration ReadRetry = std::chrono::seconds(1);
+/// A host that is new reads the table again soon: all hosts may have started
 /// together.
 constexpr base::duration EarlyInterval = std::chrono::milliseconds(1500);
+/// How often watchers read the table. A host that joins has to be known to all
+/// within NewMemberDelay.
+constexpr base::duration WatchInterval = std::chrono::seconds(4);
+/// Hosts of each failure domain that watch the store for the others; two, since
+/// one may be down.
+constexpr std::size_t WatchersPerDomain = 2;
+constexpr const char *WatchKey = "watch the store";
 /// Hosts of each failure domain that ask the instances of a group for its
 /// primary; the others ask these hosts, since a status call occupies a slot and
 /// a connection of the instance. Enough that some are left when half are down.
@@ -91,12 +101,38 @@
 }
 
 void fleet_members::advance(base::time_point Now) {
-  if (IsRenewing && Now >= RenewalSentAt + RenewalTimeout)
+  if (IsRenewing && Now >= RenewalSentAt + CallTimeout)
     IsRenewing = false;
-  if (!IsRenewing && Now >= NextRenewalAt)
+  if (IsReading && Now >= ReadSentAt + CallTimeout)
+    IsReading = false;
+  if (Now >= nextReadAt())
+    read(Now);
+  // The first read tells whether the fleet already counts this host.
+  if (ReadAt && !IsRenewing && Now >= NextRenewalAt)
     renew(Now);
 }
 
+base::time_point fleet_members::nextWake() const {
+  base::time_point Renewal = IsRenewing ? RenewalSentAt + CallTimeout
+                             : ReadAt   ? NextRenewalAt
+                                        : base::time_point::max();
+  base::time_point Read = IsReading ? ReadSentAt + CallTimeout : nextReadAt();
+  return std::min(Renewal, Read);
+}
+
+base::time_point fleet_members::nextReadAt() const {
+  if (IsReading)
+    return base::time_point::max();
+  if (!ReadAt || IsBehind)
+    return NextReadTryAt;
+  bool IsEarly = !Members.contains(Options.Host.str());
+  base::time_point Due =
+      IsEarly     ? *ReadAt + EarlyInterval
+      : IsWatcher ? *ReadAt + WatchInterval
+                  : std::max(*ReadAt, ConfirmedAt) + Options.MemberInterval;
+  return std::max(NextReadTryAt, Due);
+}
+
 void fleet_members::renew(base::time_point Now) {
   IsRenewing = true;
   RenewalSentAt = Now;
@@ -108,50 +144,34 @@
   base::store_transaction Transaction;
   Transaction.Writes.push_back(
       {{MembersTable, Options.Host.str()}, std::move(Value)});
-  auto Renew = [this, Transaction, Now] {
-    Store.execute(Transaction, [this, Now](const auto &Answer, auto At) {
-      if (Answer.Outcome == base::store_outcome::Done)
-        RenewedAt = std::max(RenewedAt.value_or(Now), Now);
-      onRenewed(Answer, At);
-    });
-  };
-  if (HasRead) {
-    Renew();
-    return;
-  }
-  // The first read tells whether the fleet already counts this host.
-  Store.execute(base::read_table{MembersTable},
-                [this, Renew](const auto &Answer, auto At) {
-                  onRead(Answer, At);
-                  if (!HasRead)
-                    return;
-                  bool IsCounted = Members.contains(Options.Host.str());
-                  ShareFrom = IsCounted ? At : At + Options.NewMemberDelay;
-                  Renew();
-                });
+  Store.execute(Transaction, [this, Now](const auto &Answer, auto At) {
+    onRenewed(Answer, Now, At);
+  });
 }
 
 void fleet_members::onRenewed(const base::store_answer &Answer,
-                              base::time_point Now) {
-  if (Answer.Outcome != base::store_outcome::Done) {
-    IsRenewing = false;
-    return;
-  }
-  if (Now < ShareFrom)
-    NextRenewalAt = std::min(NextRenewalAt, Now + EarlyInterval);
-  Store.execute(base::read_table{MembersTable},
-                [this](const auto &Read, auto At) {
-                  onRead(Read, At);
-                  removeLapsed(At);
-                });
+                              base::time_point SentAt, base::time_point Now) {
+  IsRenewing = false;
+  if (Answer.Outcome == base::store_outcome::Done)
+    RenewedAt = std::max(RenewedAt.value_or(SentAt), SentAt);
+  else
+    NextRenewalAt = std::min(NextRenewalAt, Now + RenewalRetry);
+}
+
+void fleet_members::read(base::time_point Now) {
+  IsReading = true;
+  ReadSentAt = Now;
+  Store.execute(
+      base::read_table{MembersTable},
+      [this, Now](const auto &Answer, auto At) { onRead(Answer, Now, At); });
 }
 
 void fleet_members::onRead(const base::store_answer &Answer,
-                           base::time_point Now) {
-  IsRenewing = false;
+                           base::time_point SentAt, base::time_point Now) {
+  IsReading = false;
+  NextReadTryAt = Now + ReadRetry;
   if (Answer.Outcome != base::store_outcome::Done)
     return;
-  HasRead = true;
   std::map<std::string, member> Current;
   for (const base::table_row &Row : Answer.Rows) {
     if (!Row.Value.is_object())
@@ -172,9 +192,52 @@
                Left.second.Domain == Right.second.Domain &&
                Left.second.Address == Right.second.Address;
       });
-  if (!AreHostsSame)
-    ++HostsVersion;
   Members = std::move(Current);
+  if (!ReadAt) {
+    bool IsCounted = Members.contains(Options.Host.str());
+    ShareFrom = IsCounted ? Now : Now + Options.NewMemberDelay;
+  }
+  if (!AreHostsSame || !ReadAt)
+    noteHosts();
+  ReadAt = SentAt;
+  IsBehind = false;
+  removeLapsed(Now);
+}
+
+void fleet_members::noteHosts() {
+  ++HostsVersion;
+  std::string Text;
+  for (const auto &[Name, Member] : Members)
+    Text += Name + ' ' + Member.Domain + ' ' + Member.Address + '\n';
+  HostsDigest = base::stableHash(Text);
+  std::vector<std::string> Order =
+      base::rendezvousOrder(WatchKey, hosts()[Options.Domain.str()]);
+  Order.resize(std::min(Order.size(), WatchersPerDomain));
+  bool WasWatcher = IsWatcher;
+  // At the first start the others are not known until their rows are read
+  // together with the own one.
+  IsWatcher = Members.contains(Options.Host.str()) &&
+              std::ranges::count(Order, Options.Host.str()) > 0;
+  if (IsWatcher != WasWatcher)
+    Log.belief("watching the store", {{"watcher", IsWatcher}});
+}
+
+void fleet_members::sendToDomain(watch_report Report, base::time_point Now) {
+  Report.HostsDigest = HostsDigest;
+  Report.HostsAge = Now - ReadAt.value_or(base::time_point{});
+  for (const auto &[Name, Member] : Members)
+    if (Member.Domain == Options.Domain.str() && Name != Options.Host.str())
+      send(Report, Member.Address);
+}
+
+void fleet_members::receive(const watch_report &Report, base::time_point Now) {
+  base::time_point AsOf = Now - Report.HostsAge;
+  if (!ReadAt || AsOf <= *ReadAt)
+    return;
+  if (Report.HostsDigest == HostsDigest)
+    ConfirmedAt = std::max(ConfirmedAt, AsOf);
+  else
+    IsBehind = true;
 }
 
 void fleet_members::removeLapsed(base::time_point Now) {
--- a/packages/sessions/src/peer_message.cpp
+++ b/packages/sessions/src/peer_message.cpp
@@ -14,6 +14,7 @@
 constexpr int ProofWishKind = 3;
 constexpr int ProofOfferKind = 4;
 constexpr int VoteKind = 5;
+constexpr int ReportKind = 6;
 
 struct packer {
   const std::string &ReplyTo;
@@ -48,6 +49,14 @@
     return json::array({VoteKind, ReplyTo, Vote.Group.str(), Vote.Term,
                         Vote.Host.str(), Vote.Domain.str()});
   }
+  json operator()(const watch_report &Report) const {
+    json Result = json::array(
+        {ReportKind, ReplyTo, Report.HostsDigest, Report.HostsAge.count()});
+    for (const source_report &Source : Report.Sources)
+      Result.push_back(json::array(
+          {Source.IsKnown, Source.ChangedVersion, Source.Age.count()}));
+    return Result;
+  }
 };
 
 promotion_vote unpackVote(const json &Packed) {
@@ -78,6 +87,20 @@
   return Offer;
 }
 
+watch_report unpackReport(const json &Packed) {
+  constexpr std::size_t FirstSource = 4;
+  watch_report Report;
+  Report.HostsDigest = Packed.at(2).get<std::uint64_t>();
+  Report.HostsAge = base::duration(Packed.at(3).get<std::int64_t>());
+  for (std::size_t Index = 0; Index < WatchedSources; ++Index) {
+    const json &Source = Packed.at(FirstSource + Index);
+    Report.Sources.at(Index) = {
+        Source.at(0).get<bool>(), Source.at(1).get<std::uint64_t>(),
+        base::duration(Source.at(2).get<std::int64_t>())};
+  }
+  return Report;
+}
+
 } // namespace
 
 std::string encodeDatagram(const peer_datagram &Datagram) {
@@ -108,6 +131,8 @@
       return peer_datagram{ReplyTo, unpackOffer(Packed)};
     case VoteKind:
       return peer_datagram{ReplyTo, unpackVote(Packed)};
+    case ReportKind:
+      return peer_datagram{ReplyTo, unpackReport(Packed)};
     default:
       return std::nullopt;
     }
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -15,14 +15,55 @@
 session_engine::session_engine(const engine_options &Options,
                                client_port &Clients, backend_port &Backends,
                                coordination_port &Coordination, event_log &Log)
-    : Options(Options), Clients(Clients), Log(Log), Store(Coordination),
-      Pool(Options, Backends), Members(Options, Store, Coordination, Log),
+    : Options(Options), Clients(Clients), Coordination(Coordination), Log(Log),
+      Store(Coordination), Pool(Options, Backends),
+      Members(Options, Store, Coordination, Log),
       Limits(Options, Members, Log) {}
 
 bool session_engine::isReady() const {
   return Catalog && !Instances.empty() && !IsDraining;
 }
 
+void session_engine::catalogRead(const base::expected<catalog_ptr> &Reading,
+                                 const read_times &Times,
+                                 base::time_point Now) {
+  if (!Reading) {
+    Watch.failed(detail::watched_source::Catalog, Now);
+    return;
+  }
+  if (*Reading)
+    setCatalog(*Reading, Now);
+  std::uint64_t Version = Catalog ? Catalog->Version : 0;
+  Watch.confirmed(detail::watched_source::Catalog, {Version, Version}, Times,
+                  Now);
+}
+
+void session_engine::instancesRead(
+    const base::expected<instance_reading> &Reading, const read_times &Times,
+    base::time_point Now) {
+  if (!Reading) {
+    Watch.failed(detail::watched_source::Instances, Now);
+    return;
+  }
+  Watch.confirmed(detail::watched_source::Instances,
+                  {Reading->Version, Reading->ChangedVersion}, Times, Now);
+  if (Watch.wasAway(detail::watched_source::Instances))
+    Listings.noteAway();
+  setInstances(Listings.merge(Reading->List, Now), Now);
+}
+
+void session_engine::watchStore(base::time_point Now) {
+  Watch.setWatcher(Members.isWatcher());
+  if (auto Wait = Watch.startCall(detail::watched_source::Catalog, Now))
+    Coordination.readCatalog(*Wait);
+  if (auto Wait = Watch.startCall(detail::watched_source::Instances, Now))
+    Coordination.readInstances(*Wait);
+  if (auto Report = Watch.takeReport(Now))
+    Members.sendToDomain(*Report, Now);
+  if (auto Settled = Listings.settle(Now))
+    setInstances(*Settled, Now);
+}
+
 void session_engine::setCatalog(catalog_ptr NewCatalog, base::time_point Now) {
   bool IsNewer = !Catalog || NewCatalog->Version > Catalog->Version;
   if (!IsNewer)
@@ -192,6 +233,10 @@
                  std::get_if<detail::promotion_vote>(&Datagram->Message)) {
     if (supervisor *Group = groupOf(Vote->Group))
       Group->receive(*Vote, Now);
+  } else if (const auto *Report =
+                 std::get_if<detail::watch_report>(&Datagram->Message)) {
+    Watch.receive(*Report, Now);
+    Members.receive(*Report, Now);
   } else {
     const auto &Offer = std::get<detail::proof_offer>(Datagram->Message);
     supervisor *Group = groupOf(Offer.Group);
@@ -223,6 +268,7 @@
   for (auto &[Id, Group] : Groups)
     Group->advance(Now);
   Members.advance(Now);
+  watchStore(Now);
   Limits.advance(Now);
   if (Limits.takeNews())
     for (auto &[Number, Session] : Sessions)
@@ -257,8 +303,8 @@
 }
 
 base::time_point session_engine::nextWake(base::time_point Now) const {
-  base::time_point Wake =
-      std::min({NextTrimAt, Members.nextWake(), Limits.nextWake()});
+  base::time_point Wake = std::min(
+      {NextTrimAt, Members.nextWake(), Limits.nextWake(), Watch.nextWake()});
   if (!Wakes.empty())
     Wake = std::min(Wake, Wakes.begin()->first);
   Wake = std::min(Wake, Pool.nextDeadline());
--- /dev/null
+++ b/packages/sessions/src/store_watch.cpp
@@ -0,0 +1,123 @@
+#include "radishrelay/sessions/detail/store_watch.h"
+
+#include <algorithm>
+
+namespace radishrelay::sessions::detail {
+
+namespace {
+
+/// How long a watcher's call waits for a change. Below ConfirmationLifetime, so
+/// that a calm store is confirmed in time.
+constexpr base::duration ChangeWait = std::chrono::milliseconds(1700);
+/// First and longest pause after a failed read. Calls that the store rejects
+/// are paid for as well.
+constexpr base::duration FirstRetryDelay = std::chrono::milliseconds(200);
+constexpr base::duration LongestRetryDelay = std::chrono::milliseconds(1600);
+/// Pause between two reads of a host that does not watch. Changes come in
+/// series, such as instances that start together, and one read shows them all.
+constexpr base::duration ReadInterval = std::chrono::milliseconds(700);
+/// Without a confirmation for so long, entries of instances may have lapsed:
+/// three of their intervals, less the delay of a report.
+constexpr base::duration AwayAfter = std::chrono::milliseconds(3000);
+
+} // namespace
+
+base::time_point store_watch::dueAt(const source &Source) const {
+  if (Source.IsCalling)
+    return base::time_point::max();
+  bool IsBehind = Source.ReportedVersion > Source.Known.Version;
+  if (IsWatcher || IsBehind || !Source.ConfirmedAt)
+    return Source.NextTryAt;
+  return std::max(Source.NextTryAt, *Source.ConfirmedAt + ConfirmationLifetime);
+}
+
+std::optional<base::duration> store_watch::startCall(watched_source Source,
+                                                     base::time_point Now) {
+  source &State = of(Source);
+  if (Now < dueAt(State))
+    return std::nullopt;
+  State.IsCalling = true;
+  bool IsFirst = !State.ConfirmedAt;
+  bool IsFailing = State.RetryDelay > base::duration::zero();
+  return IsWatcher && !IsFirst && !IsFailing ? ChangeWait
+                                             : base::duration::zero();
+}
+
+void store_watch::confirmed(watched_source Source, const source_state &State,
+                            const read_times &Times, base::time_point Now) {
+  source &Entry = of(Source);
+  // The store has answered without a change at the end of the wait; otherwise
+  // only the time of the request is known.
+  bool HasWaited = State.ChangedVersion == Entry.Known.ChangedVersion &&
+                   Now >= Times.SentAt + Times.Wait;
+  base::time_point AsOf = HasWaited ? Times.SentAt + Times.Wait : Times.SentAt;
+  Entry.IsCalling = false;
+  Entry.WasAway = Entry.RetryDelay > base::duration::zero() ||
+                  (Entry.ConfirmedAt && AsOf > *Entry.ConfirmedAt + AwayAfter);
+  Entry.RetryDelay = {};
+  Entry.Known = State;
+  Entry.ConfirmedAt = std::max(Entry.ConfirmedAt.value_or(AsOf), AsOf);
+  Entry.NextTryAt = IsWatcher ? Now : Now + ReadInterval;
+  HasNews = true;
+}
+
+void store_watch::failed(watched_source Source, base::time_point Now) {
+  source &Entry = of(Source);
+  Entry.IsCalling = false;
+  Entry.RetryDelay =
+      std::clamp(Entry.RetryDelay * 2, FirstRetryDelay, LongestRetryDelay);
+  Entry.NextTryAt = Now + Entry.RetryDelay;
+}
+
+void store_watch::receive(const watch_report &Report, base::time_point Now) {
+  for (std::size_t Index = 0; Index < WatchedSources; ++Index) {
+    const source_report &Reported = Report.Sources.at(Index);
+    source &Entry = Sources.at(Index);
+    if (!Reported.IsKnown || Reported.Age < base::duration::zero())
+      continue;
+    if (Reported.ChangedVersion > Entry.Known.Version) {
+      Entry.ReportedVersion =
+          std::max(Entry.ReportedVersion, Reported.ChangedVersion);
+    } else if (Entry.ConfirmedAt) {
+      Entry.ConfirmedAt = std::max(*Entry.ConfirmedAt, Now - Reported.Age);
+    }
+  }
+}
+
+std::optional<watch_report> store_watch::takeReport(base::time_point Now) {
+  if (!IsWatcher || !HasNews)
+    return std::nullopt;
+  HasNews = false;
+  watch_report Report;
+  for (std::size_t Index = 0; Index < WatchedSources; ++Index) {
+    const source &Entry = Sources.at(Index);
+    if (Entry.ConfirmedAt)
+      Report.Sources.at(Index) = {true, Entry.Known.ChangedVersion,
+                                  Now - *Entry.ConfirmedAt};
+  }
+  return Report;
+}
+
+base::time_point store_watch::nextWake() const {
+  base::time_point Wake = base::time_point::max();
+  for (const source &Entry : Sources)
+    Wake = std::min(Wake, dueAt(Entry));
+  return Wake;
+}
+
+base::json store_watch::dump(base::time_point Now) const {
+  base::json Result = base::json::object();
+  Result["watcher"] = IsWatcher;
+  for (std::size_t Index = 0; Index < WatchedSources; ++Index) {
+    const source &Entry = Sources.at(Index);
+    base::json &Fields =
+        Result[std::string(sourceName(static_cast<watched_source>(Index)))];
+    Fields["version"] = Entry.Known.Version;
+    Fields["reported_version"] = Entry.ReportedVersion;
+    if (Entry.ConfirmedAt)
+      Fields["confirmed_age_us"] = (Now - *Entry.ConfirmedAt).count();
+  }
+  return Result;
+}
+
+} // namespace radishrelay::sessions::detail
--- a/packages/sessions/tests/members_test.cpp
+++ b/packages/sessions/tests/members_test.cpp
@@ -181,6 +181,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_relies_on_watchers)
+
+BOOST_AUTO_TEST_CASE(reads_the_hosts_when_a_watcher_counts_others) {
+  crowded_fleet Fleet;
+  Fleet.run(500ms); // the report has to be newer than the last reading
+  std::uint64_t Before =
+      Fleet.engine().dump()["fleet"]["hosts"].get<std::uint64_t>();
+  Fleet.Rows[{"members", "h99"}] = {
+      {"members", "h99"}, 2000, {{"domain", "c"}, {"address", "h99:1"}}};
+  detail::watch_report Report;
+  Report.HostsDigest = 1; // of other hosts than this one counts
+  Report.HostsAge = 1ms;
+  Fleet.engine().datagramReceived(encodeDatagram({"h2:1", Report}),
+                                  Fleet.now());
+  Fleet.run(1000ms);
+  BOOST_TEST(Fleet.engine().dump()["fleet"]["hosts"] == Before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(takes_its_report_from_the_wire_as_it_was_sent) {
+  detail::watch_report Report;
+  Report.Sources[0] = {true, 12, 3ms};
+  Report.HostsDigest = ~std::uint64_t{0};
+  Report.HostsAge = 4s;
+  auto Read = decodeDatagram(encodeDatagram({"h2:1", Report}));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST((std::get<detail::watch_report>(Read->Message) == Report));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(that_probes)
 
 BOOST_AUTO_TEST_CASE(answers_a_wish_once_the_primary_is_proved) {
--- /dev/null
+++ b/packages/sessions/tests/store_watch_test.cpp
@@ -0,0 +1,145 @@
+#include "radishrelay/sessions/detail/store_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishrelay::sessions::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using detail::store_watch;
+using detail::watch_report;
+using detail::watched_source;
+
+constexpr watched_source Catalog = watched_source::Catalog;
+
+base::time_point at(base::duration Time) {
+  return base::fromMicroseconds(100'000'000) + Time;
+}
+
+/// A host that has read version 7 at the time 0.
+struct informed_host {
+  informed_host() {
+    Watch.startCall(Catalog, at(0ms));
+    Watch.confirmed(Catalog, {7, 7}, {at(0ms), 0ms}, at(0ms));
+  }
+
+  void report(std::uint64_t Version, base::duration Age, base::duration Now) {
+    watch_report Report;
+    Report.Sources[0] = {true, Version, Age};
+    Watch.receive(Report, at(Now));
+  }
+
+  store_watch Watch;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_configuration)
+
+BOOST_AUTO_TEST_SUITE(is_read)
+
+BOOST_AUTO_TEST_CASE(at_the_start) {
+  store_watch Watch;
+  BOOST_TEST((*Watch.startCall(Catalog, at(0ms)) == 0ms));
+  BOOST_TEST(!Watch.startCall(Catalog, at(1ms)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(when_a_watcher_reports_a_newer_version, informed_host) {
+  BOOST_TEST(!Watch.startCall(Catalog, at(1000ms)).has_value());
+  report(8, 1ms, 1000ms);
+  BOOST_TEST((*Watch.startCall(Catalog, at(1000ms)) == 0ms));
+}
+
+// Instances that start together make a series of changes.
+BOOST_FIXTURE_TEST_CASE(once_for_changes_in_quick_succession, informed_host) {
+  int Reads = 0;
+  for (std::uint64_t Change = 0; Change < 24; ++Change) {
+    base::duration Time = 1000ms + 20ms * Change;
+    report(8 + Change, 1ms, Time);
+    if (Watch.startCall(Catalog, at(Time))) {
+      Watch.confirmed(Catalog, {8 + Change, 8 + Change}, {at(Time), 0ms},
+                      at(Time));
+      ++Reads;
+    }
+  }
+  BOOST_TEST(Reads == 1);
+  BOOST_TEST(Watch.startCall(Catalog, at(1800ms)).has_value());
+}
+
+// A watcher that is itself cut off from the store confirms nothing.
+BOOST_FIXTURE_TEST_CASE(when_nobody_has_confirmed_it_for_long, informed_host) {
+  report(7, 500ms, 1000ms);
+  report(7, 1500ms, 2000ms);
+  base::duration Due = 500ms + store_watch::ConfirmationLifetime;
+  BOOST_TEST(!Watch.startCall(Catalog, at(Due - 1ms)).has_value());
+  BOOST_TEST(Watch.startCall(Catalog, at(Due)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(again_and_again_by_a_watcher_that_waits_for_changes,
+                        informed_host) {
+  Watch.setWatcher(true);
+  base::duration Wait = *Watch.startCall(Catalog, at(0ms));
+  BOOST_TEST((Wait > 0ms));
+  BOOST_TEST((Wait < store_watch::ConfirmationLifetime));
+}
+
+// In an outage a hundred hosts would call at a high rate, and pay for it.
+BOOST_FIXTURE_TEST_CASE(less_often_while_the_store_fails, informed_host) {
+  int Calls = 0;
+  for (base::duration Time = 2300ms; Time < 12300ms; Time += 1ms)
+    if (Watch.startCall(Catalog, at(Time))) {
+      Watch.failed(Catalog, at(Time));
+      ++Calls;
+    }
+  BOOST_TEST(Calls <= 10);
+  BOOST_TEST(Calls >= 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(is_reported_by_a_watcher)
+
+BOOST_FIXTURE_TEST_CASE(with_the_age_of_its_confirmation, informed_host) {
+  Watch.setWatcher(true);
+  Watch.takeReport(at(0ms));
+  Watch.startCall(Catalog, at(0ms));
+  // The answer has come 40 ms after the end of the wait.
+  Watch.confirmed(Catalog, {7, 7}, {at(0ms), 1700ms}, at(1740ms));
+  auto Report = Watch.takeReport(at(1750ms));
+  BOOST_REQUIRE(Report.has_value());
+  BOOST_TEST(Report->Sources[0].ChangedVersion == 7U);
+  BOOST_TEST((Report->Sources[0].Age == 50ms));
+  BOOST_TEST(!Watch.takeReport(at(1751ms)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(as_of_the_request_if_it_has_just_changed,
+                        informed_host) {
+  Watch.setWatcher(true);
+  Watch.startCall(Catalog, at(0ms));
+  Watch.confirmed(Catalog, {8, 8}, {at(0ms), 1700ms}, at(900ms));
+  BOOST_TEST((Watch.takeReport(at(900ms))->Sources[0].Age == 900ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(was_possibly_changed_by_an_outage)
+
+BOOST_FIXTURE_TEST_CASE(after_a_failed_read, informed_host) {
+  BOOST_TEST(!Watch.wasAway(Catalog));
+  Watch.failed(Catalog, at(1000ms));
+  Watch.confirmed(Catalog, {7, 7}, {at(1300ms), 0ms}, at(1301ms));
+  BOOST_TEST(Watch.wasAway(Catalog));
+}
+
+// A host may miss an outage, since it seldom calls.
+BOOST_FIXTURE_TEST_CASE(after_a_time_without_confirmation, informed_host) {
+  Watch.confirmed(Catalog, {9, 9}, {at(3600ms), 0ms}, at(3601ms));
+  BOOST_TEST(Watch.wasAway(Catalog));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace radishrelay::sessions::tests
--- a/packages/sessions/tests/support/fake_fleet.h
+++ b/packages/sessions/tests/support/fake_fleet.h
@@ -104,6 +104,8 @@
   void promote(store_call_number Call, const base::group_id &Group,
                const base::instance_id &Instance,
                std::uint64_t Generation) override;
+  void readCatalog(base::duration) override {}
+  void readInstances(base::duration) override {}
   void sendDatagram(const std::string &Address,
                     const std::string &Bytes) override;
   void belief(std::string_view Event, const base::json &Fields) override;
