Date offers from commits by their request; fence no replica that has left

Cause: (1) A host that had a commit acknowledged answered open wishes for a proof with the age zero instead of the time since the commit was sent, so that the asker used the primary beyond the lease by as much. (3) Probers that relied on the first one put off their own probe with each new question.

Change: offers are dated by the present. Each of the three has a test that fails without it.

--- a/packages/daemon/src/session_daemon.cpp
+++ b/packages/daemon/src/session_daemon.cpp
@@ -38,6 +38,7 @@
   Options.RandomSeed = base::stableHash(Settings.HostId + Options.Incarnation);
   base::duration Leaving =
       std::chrono::milliseconds(Settings.LeavingMilliseconds);
+  Options.LeavingDuration = Leaving;
   Options.LeavingUse =
       std::max(base::duration::zero(), Leaving - LeavingMargin);
   // Half of the grace belongs to open transactions; the last sixth is kept for
--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -11,6 +11,7 @@
 #include "radishrelay/sessions/promotion.h"
 
 #include <optional>
+#include <set>
 
 namespace radishrelay::sessions::detail {
 
@@ -25,6 +26,8 @@
   /// Takes the listed instances of the group.
   void setListings(const std::map<base::instance_id, instance_listing> &List,
                    base::time_point Now);
+  /// Nothing had changed in the list at \p Time.
+  void noteListConfirmed(base::time_point Time) { ListConfirmedAt = Time; }
   void setSettings(const group_settings &Settings);
   void setFleet(const fleet_size &NewSize) { Size = NewSize; }
   /// Account for connections that are opened for status calls.
@@ -60,7 +63,8 @@
   void noteWriteTimeout(const base::instance_id &Instance,
                         base::time_point Now);
   void noteCommit(const base::instance_id &Instance,
-                  groups::log_position Position, base::time_point SentAt);
+                  groups::log_position Position, base::time_point SentAt,
+                  base::time_point Now);
   /// A call of the proxy itself was answered; true if the primary is proved
   /// since.
   bool callAnswered(const base::instance_id &Instance,
@@ -87,8 +91,16 @@
     instance_listing Listing;
     bool IsListed = true;
     base::time_point UnlistedAt;
+    /// When it was first seen leaving.
+    base::time_point LeavingSince;
   };
 
+  /// Whether a replica that is no longer listed has ended as announced. Its log
+  /// is gone with it, so a promotion need not fence it. A primary that has
+  /// ended still counts, since an acknowledged commit may be on either replica.
+  [[nodiscard]] bool hasLeft(const base::instance_id &Instance,
+                             const member_state &Member) const;
+
   /// Renews the proof in time: asks other hosts first, then instances.
   void seekProof(base::time_point Now);
   void askProbers(base::time_point Now);
@@ -137,6 +149,9 @@
   promotion Promotion;
   promotion_votes Votes;
   std::map<base::instance_id, member_state> Members;
+  /// Failure domains of all listed instances, of other groups too.
+  std::set<base::failure_domain_id> ListedDomains;
+  base::time_point ListConfirmedAt;
 
   /// Last time at which a session needed a proof.
   base::time_point WantedAt;
--- a/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
@@ -43,6 +43,10 @@
   [[nodiscard]] bool wasAway(watched_source Source) const {
     return of(Source).WasAway;
   }
+  /// When nothing newer was at the store than this host knows.
+  [[nodiscard]] base::time_point confirmedAt(watched_source Source) const {
+    return of(Source).ConfirmedAt.value_or(base::time_point{});
+  }
   [[nodiscard]] base::time_point nextWake() const;
   [[nodiscard]] base::json dump(base::time_point Now) const;
 
--- a/packages/sessions/include/radishrelay/sessions/engine_options.h
+++ b/packages/sessions/include/radishrelay/sessions/engine_options.h
@@ -66,6 +66,8 @@
   /// A new member uses its share after the others have read its row.
   base::duration NewMemberDelay = std::chrono::seconds(9);
 
+  /// How long a leaving instance goes on at least before it ends.
+  base::duration LeavingDuration = std::chrono::seconds(7);
   /// How long after an instance was first seen leaving it may get new work.
   base::duration LeavingUse = std::chrono::milliseconds(4500);
   /// Time in which the balancer notices that the host is not ready; idle
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -10,8 +10,9 @@
 /// lost primary is replaced before the next session comes.
 constexpr base::duration DemandLifetime = std::chrono::seconds(3);
 /// A prober renews its proof this long before it runs out, and offers it until
-/// then: the time of a status call on a busy instance.
-constexpr base::duration RenewalTime = std::chrono::milliseconds(150);
+/// then: time for the first prober's status call on a busy instance, and for
+/// one more if the first prober is down.
+constexpr base::duration RenewalTime = std::chrono::milliseconds(200);
 /// A proof is not offered so shortly before its renewal: the hosts that ask for
 /// it would have to ask again at once.
 constexpr base::duration OfferMargin = std::chrono::milliseconds(20);
@@ -21,9 +22,11 @@
 /// The same on a host that does not probe: an operation that waits for a proof
 /// renews its wish more often.
 constexpr base::duration PassiveDemandLifetime = std::chrono::milliseconds(60);
-/// The first prober answers within a probe over a new connection.
-constexpr base::duration OfferPatience = std::chrono::milliseconds(40);
-constexpr base::duration AskInterval = std::chrono::milliseconds(100);
+/// The first prober answers once its status call is through the queue of a busy
+/// instance. A call of each prober instead would make the queue longer.
+constexpr base::duration OfferPatience = std::chrono::milliseconds(120);
+/// Longer than OfferPatience, so that a probe follows when no offer came.
+constexpr base::duration AskInterval = std::chrono::milliseconds(250);
 /// The same on a host that does not probe, whose operations wait meanwhile:
 /// twice the time of a probe over a new connection.
 constexpr base::duration PassiveAskInterval = std::chrono::milliseconds(30);
@@ -34,6 +37,9 @@
 constexpr base::duration WishLifetime = std::chrono::milliseconds(200);
 /// More than the hosts of one failure domain.
 constexpr std::size_t MaxWishes = 256;
+/// Within this time the entries of a failure domain lapse one after another: an
+/// interval of the instances' reports and the delay of the list.
+constexpr base::duration LapseSpread = std::chrono::milliseconds(2500);
 /// An instance that answered a status call so recently is asked alone.
 constexpr base::duration ReachedLifetime = std::chrono::milliseconds(1000);
 
@@ -56,15 +62,33 @@
       Member.UnlistedAt = Now;
     Member.IsListed = IsListed;
   }
-  for (const auto &[Instance, Listing] : List)
-    if (Listing.Group == Group) {
-      member_state &Member = Members[Instance];
-      Member.Listing = Listing;
-      Member.IsListed = true;
-    }
+  ListedDomains.clear();
+  for (const auto &[Instance, Listing] : List) {
+    ListedDomains.insert(Listing.Domain);
+    if (Listing.Group != Group)
+      continue;
+    member_state &Member = Members[Instance];
+    if (Listing.Draining && !Member.Listing.Draining)
+      Member.LeavingSince = Now;
+    Member.Listing = Listing;
+    Member.IsListed = true;
+  }
   updateMembers();
 }
 
+bool group_supervisor::hasLeft(const base::instance_id &Instance,
+                               const member_state &Member) const {
+  bool HasAnnounced =
+      Member.Listing.Draining &&
+      Member.UnlistedAt >= Member.LeavingSince + Options.LeavingDuration;
+  // An entry also lapses when a failure domain is cut off; then the others of
+  // the domain lapse soon after it, and the instance may go on acknowledging
+  // commits.
+  bool IsDomainListed = ListConfirmedAt >= Member.UnlistedAt + LapseSpread &&
+                        ListedDomains.contains(Member.Listing.Domain);
+  return HasAnnounced && IsDomainListed && Leadership.primary() != Instance;
+}
+
 void group_supervisor::updateMembers() {
   std::set<base::instance_id> Names;
   for (const auto &[Instance, Member] : Members)
@@ -295,13 +319,14 @@
 
 void group_supervisor::noteCommit(const base::instance_id &Instance,
                                   groups::log_position Position,
-                                  base::time_point SentAt) {
+                                  base::time_point SentAt,
+                                  base::time_point Now) {
   Leadership.noteCommit(Instance, Position, SentAt);
   if (Leadership.primary() == Instance) {
     WriteTimeouts = 0;
     bool IsProvedSinceFailure = SentAt > FirstFailureAt;
     if (IsProvedSinceFailure && Settings.SyncReplicas > 0)
-      noteProved(SentAt);
+      noteProved(Now);
   }
 }
 
@@ -335,8 +360,9 @@
   bool IsForgotten = false;
   std::erase_if(Members, [&](const auto &Entry) {
     const member_state &Member = Entry.second;
-    bool IsOld =
-        !Member.IsListed && Now >= Member.UnlistedAt + Options.UnlistedLifetime;
+    bool IsOld = !Member.IsListed &&
+                 (Now >= Member.UnlistedAt + Options.UnlistedLifetime ||
+                  hasLeft(Entry.first, Member));
     IsForgotten = IsForgotten || IsOld;
     return IsOld;
   });
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -265,8 +265,11 @@
     operationDue(Entry->second, Now);
   }
   finishOverdue(Now);
-  for (auto &[Id, Group] : Groups)
+  for (auto &[Id, Group] : Groups) {
+    Group->noteListConfirmed(
+        Watch.confirmedAt(detail::watched_source::Instances));
     Group->advance(Now);
+  }
   Members.advance(Now);
   watchStore(Now);
   Limits.advance(Now);
--- a/packages/sessions/src/session_replies.cpp
+++ b/packages/sessions/src/session_replies.cpp
@@ -219,7 +219,7 @@
   bool IsCommit = Operation.Statement.Kind == statement_kind::Commit &&
                   Session.Transaction.HasWritten;
   if (IsRunning && (IsSingleWrite || IsCommit))
-    Group->noteCommit(Connection.Instance, *Reply.Position, SentAt);
+    Group->noteCommit(Connection.Instance, *Reply.Position, SentAt, Now);
   else
     Group->leadership().notePosition(Connection.Instance, *Reply.Position,
                                      SentAt);
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -73,6 +73,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_a_replica_has_left)
+
+/// A fleet whose replica r2, in the failure domain c, has announced to leave.
+struct leaving_fleet : fake_fleet {
+  leaving_fleet() {
+    ask(connect("primary"), "write x 1");
+    listings().at(R2).Draining = true;
+    list();
+    run(engine_options{}.LeavingDuration + 100ms);
+    instance("r1").Log = instance("p").Log;
+  }
+
+  void end() {
+    instance("r2").IsDark = true;
+    listings().erase(R2);
+    list();
+    instance("p").IsDark = true;
+  }
+
+  /// Lists another instance in the failure domain of r2.
+  void addNeighbour() {
+    instance_listing Neighbour;
+    Neighbour.Instance = NeighbourOfR2;
+    Neighbour.Group = base::group_id("other");
+    Neighbour.Domain = base::failure_domain_id("c");
+    listings()[NeighbourOfR2] = Neighbour;
+  }
+
+  const base::instance_id NeighbourOfR2{"neighbour"};
+
+  const base::instance_id R2{"r2"};
+};
+
+// The promotion waited 8 s for an instance that had ended.
+BOOST_AUTO_TEST_CASE(is_promoted_without_it) {
+  leaving_fleet Fleet;
+  Fleet.addNeighbour();
+  Fleet.end();
+  longestGap(Fleet, Fleet.connect("primary"), 6500ms);
+  BOOST_REQUIRE(Fleet.Orders.size() == 1U);
+  BOOST_TEST(Fleet.Orders[0].first == base::instance_id("r1"));
+}
+
+// Its entry may have lapsed with its failure domain, while it goes on
+// acknowledging commits there.
+BOOST_AUTO_TEST_CASE(waits_for_it_while_its_failure_domain_may_be_cut_off) {
+  leaving_fleet Fleet;
+  Fleet.addNeighbour();
+  Fleet.end();
+  longestGap(Fleet, Fleet.connect("primary"), 1000ms);
+  Fleet.listings().erase(Fleet.NeighbourOfR2); // lapses a little later
+  Fleet.list();
+  longestGap(Fleet, Fleet.connect("primary"), 5500ms);
+  BOOST_TEST(Fleet.Orders.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(whose_primary_is_leaving)
 
 BOOST_AUTO_TEST_CASE(gets_another_primary_without_a_vote) {
--- a/packages/sessions/tests/fake_fleet.cpp
+++ b/packages/sessions/tests/fake_fleet.cpp
@@ -105,13 +105,29 @@
 }
 
 void fake_fleet::list() {
-  std::vector<instance_listing> List;
+  Published.List.clear();
   for (const auto &[Name, Listing] : Listings)
-    List.push_back(Listing);
-  Engine->setInstances(List, Now);
+    Published.List.push_back(Listing);
+  Published.ChangedVersion = ++Published.Version;
+  settle(); // a read may start
+  answerList();
   settle();
 }
 
+void fake_fleet::answerList() {
+  if (!ListDueAt)
+    return;
+  read_times Times{ListSentAt, *ListDueAt - ListSentAt};
+  ListDueAt.reset();
+  if (IsStoreDown)
+    Engine->instancesRead(
+        base::failure{std::make_error_code(std::errc::timed_out), "read list",
+                      "store", ""},
+        Times, Now);
+  else
+    Engine->instancesRead(Published, Times, Now);
+}
+
 void fake_fleet::settle() {
   for (int Round = 0; Round < 100; ++Round) {
     Engine->advance(Now);
@@ -126,6 +142,8 @@
   constexpr base::duration Step = 1ms;
   for (base::time_point End = Now + Time; Now < End;) {
     Now += Step;
+    if (ListDueAt && Now >= *ListDueAt)
+      answerList();
     settle();
   }
 }
--- a/packages/sessions/tests/members_test.cpp
+++ b/packages/sessions/tests/members_test.cpp
@@ -24,10 +24,11 @@
 
   /// The wish for a proof that was sent last.
   proof_wish lastWish() const {
-    for (auto Sent = Datagrams.rbegin(); Sent != Datagrams.rend(); ++Sent)
-      if (const auto *Wish =
-              std::get_if<proof_wish>(&decodeDatagram(Sent->second)->Message))
+    for (auto Sent = Datagrams.rbegin(); Sent != Datagrams.rend(); ++Sent) {
+      auto Datagram = decodeDatagram(Sent->second);
+      if (const auto *Wish = std::get_if<proof_wish>(&Datagram->Message))
         return *Wish;
+    }
     BOOST_FAIL("no wish for a proof was sent");
     return {};
   }
@@ -134,7 +135,9 @@
   Fleet.instance("r1").Log = {3, 100};
   Fleet.instance("r2").Log = {3, 100};
   session_number Session = Fleet.connect("primary");
-  Fleet.ask(Session, "read x"); // term 3 is proved
+  Fleet.ask(Session, "read x");
+  Fleet.run(400ms); // no host offers a proof; the own probe proves term 3
+  BOOST_REQUIRE(Fleet.engine().dump()["groups"]["g"]["term"] == 3);
   Fleet.run(5000ms);
   Fleet.send(Session, "read x");
   Fleet.offer(0ms, 2);
@@ -213,6 +216,27 @@
 
 BOOST_AUTO_TEST_SUITE(that_probes)
 
+// An offer that looks newer than its proof lets the asker use a primary beyond
+// the lease.
+BOOST_AUTO_TEST_CASE(offers_a_commit_with_the_age_of_its_request) {
+  fake_fleet Fleet;
+  Fleet.run(5000ms);
+  Fleet.instance("p").ShedsCalls = true; // no status call proves it
+  Fleet.send(Fleet.connect("primary"), "write x 1");
+  Fleet.run(130ms); // the status calls have not been given up yet
+  BOOST_REQUIRE(Fleet.held().size() == 1U);
+  Fleet.engine().datagramReceived(
+      encodeDatagram({"h2:1", proof_wish{base::group_id("g"), Fleet.now()}}),
+      Fleet.now());
+  Fleet.run(20ms);
+  Fleet.Datagrams.clear();
+  Fleet.runHeld();
+  Fleet.run(1ms);
+  BOOST_REQUIRE(Fleet.Datagrams.size() == 1U);
+  auto Sent = decodeDatagram(Fleet.Datagrams[0].second);
+  BOOST_TEST((std::get<proof_offer>(Sent->Message).Age >= 150ms));
+}
+
 BOOST_AUTO_TEST_CASE(answers_a_wish_once_the_primary_is_proved) {
   fake_fleet Fleet;
   Fleet.run(5000ms);
--- a/packages/sessions/tests/support/fake_fleet.h
+++ b/packages/sessions/tests/support/fake_fleet.h
@@ -105,13 +105,18 @@
                const base::instance_id &Instance,
                std::uint64_t Generation) override;
   void readCatalog(base::duration) override {}
-  void readInstances(base::duration) override {}
+  void readInstances(base::duration Wait) override {
+    ListSentAt = Now;
+    ListDueAt = Now + Wait;
+  }
   void sendDatagram(const std::string &Address,
                     const std::string &Bytes) override;
   void belief(std::string_view Event, const base::json &Fields) override;
   void decision(std::string_view, const base::json &) override {}
   bool wantsDecision(bool) override { return true; }
 
+  /// Answers the read of the list that is under way.
+  void answerList();
   void settle();
   backend_reply runOn(fake_instance &Instance, const held_statement &Held);
   std::optional<backend_reply> controlReply(fake_instance &Instance,
@@ -130,6 +135,9 @@
   std::map<session_number, refusal> Rejections;
   std::set<session_number> Closed;
   std::uint64_t LastSession = 0;
+  instance_reading Published;
+  base::time_point ListSentAt;
+  std::optional<base::time_point> ListDueAt;
   base::row_version LastVersion = 0;
   std::unique_ptr<session_engine> Engine;
 };
