Ask again for a proof that runs out soon

An offer that was only a little newer than the own proof put the next question off by 250 ms, so that the host probed itself meanwhile. Change: after an offer the next wish is due at once.

--- a/packages/daemon/src/service_threads.cpp
+++ b/packages/daemon/src/service_threads.cpp
@@ -65,11 +65,11 @@
 }
 
 void service_threads::readCatalog(base::duration Wait) {
-  CatalogReads.tryPush(std::move(Wait));
+  CatalogReads.tryPush(base::duration(Wait));
 }
 
 void service_threads::readInstances(base::duration Wait) {
-  InstanceReads.tryPush(std::move(Wait));
+  InstanceReads.tryPush(base::duration(Wait));
 }
 
 void service_threads::runCatalogReads() {
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -216,8 +216,11 @@
     return false;
   if (IsNewer)
     noteProved(Now);
-  if (Leadership.isProved(Now + RenewalTime))
+  if (Leadership.isProved(Now + RenewalTime)) {
+    // The proof may run out soon again; then the next wish is due at once.
     OffersUntil.reset();
+    NextAskAt = Now;
+  }
   return true;
 }
 
--- a/packages/sessions/tests/members_test.cpp
+++ b/packages/sessions/tests/members_test.cpp
@@ -122,6 +122,17 @@
   BOOST_TEST(Fleet.statusCalls() == 0U);
 }
 
+// Each host that probed after such an offer doubled the status calls.
+BOOST_AUTO_TEST_CASE(and_asks_again_when_an_offer_runs_out_soon) {
+  neighbour_fleet Fleet;
+  Fleet.send(Fleet.connect("primary"), "read x");
+  Fleet.offer(engine_options{}.LeaseDuration - 210ms);
+  std::size_t Asked = Fleet.Datagrams.size();
+  Fleet.run(20ms);
+  BOOST_TEST(Fleet.Datagrams.size() == Asked + 1);
+  BOOST_TEST(Fleet.statusCalls() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(but_takes_none_that_is_older_than_the_lease) {
   neighbour_fleet Fleet;
   Fleet.send(Fleet.connect("primary"), "read x");
