--- a/packages/daemon/include/radishrelay/daemon/session_daemon.h
+++ b/packages/daemon/include/radishrelay/daemon/session_daemon.h
@@ -40,7 +40,6 @@
 
   struct client {
     std::unique_ptr<line_stream> Stream;
-    bool IsKnown = false;
   };
   struct backend {
     std::unique_ptr<line_stream> Stream;
--- a/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
@@ -48,7 +48,7 @@
     return of(Source).ConfirmedAt.value_or(base::time_point{});
   }
   [[nodiscard]] base::time_point nextWake() const;
-  [[nodiscard]] base::json dump(base::time_point Now) const;
+  [[nodiscard]] base::json dump() const;
 
 private:
   struct source {
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -394,6 +394,7 @@
   Result["instances"] = Pool.dump();
   Result["fleet"] = Members.dump();
   Result["limits"] = Limits.dump();
+  Result["store"] = Watch.dump();
   for (const auto &[Id, Group] : Groups)
     Result["groups"][Id.str()] = Group->dump();
   return Result;
--- a/packages/sessions/src/store_watch.cpp
+++ b/packages/sessions/src/store_watch.cpp
@@ -105,7 +105,7 @@
   return Wake;
 }
 
-base::json store_watch::dump(base::time_point Now) const {
+base::json store_watch::dump() const {
   base::json Result = base::json::object();
   Result["watcher"] = IsWatcher;
   for (std::size_t Index = 0; Index < WatchedSources; ++Index) {
@@ -115,7 +115,7 @@
     Fields["version"] = Entry.Known.Version;
     Fields["reported_version"] = Entry.ReportedVersion;
     if (Entry.ConfirmedAt)
-      Fields["confirmed_age_us"] = (Now - *Entry.ConfirmedAt).count();
+      Fields["confirmed_at_us"] = base::toMicroseconds(*Entry.ConfirmedAt);
   }
   return Result;
 }
