Give up a promotion when another instance joins the group

An instance started at 25.82 s, while the store was down; the old primary's commits, which its deaf replicas did not receive, were acknowledged with it at 25.822 s. The promotion of 26.12 s knew three members, read the list with the fourth at 26.26 s and still ordered by the three at 26.89 s. Change: a member that joins ends the attempt, and each attempt asks for the newest list. What stays open: an instance that cannot register since the store is down.

--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -12,6 +12,7 @@
 
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace radishrelay::sessions::detail {
 
@@ -39,6 +40,8 @@
   [[nodiscard]] const group_leadership &leadership() const {
     return Leadership;
   }
+  /// True once after a promotion has started: it needs the newest list.
+  bool takeListWish() { return std::exchange(IsListWanted, false); }
   /// The primary, if it may be used now.
   [[nodiscard]] std::optional<base::instance_id>
   usablePrimary(base::time_point Now) const;
@@ -152,6 +155,7 @@
   /// Failure domains of all listed instances, of other groups too.
   std::set<base::failure_domain_id> ListedDomains;
   base::time_point ListConfirmedAt;
+  bool IsListWanted = false;
 
   /// Last time at which a session needed a proof.
   base::time_point WantedAt;
--- a/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
@@ -35,6 +35,9 @@
                  const read_times &Times, base::time_point Now);
   void failed(watched_source Source, base::time_point Now);
 
+  /// Reads \p Source soon, since a decision depends on it.
+  void want(watched_source Source) { of(Source).IsWanted = true; }
+
   void receive(const watch_report &Report, base::time_point Now);
   /// What this host reports, for a watcher that has news since the last call.
   std::optional<watch_report> takeReport(base::time_point Now);
@@ -60,6 +63,7 @@
     base::time_point NextTryAt;
     base::duration RetryDelay{};
     bool IsCalling = false;
+    bool IsWanted = false;
     bool WasAway = false;
   };
 
--- a/packages/sessions/include/radishrelay/sessions/promotion.h
+++ b/packages/sessions/include/radishrelay/sessions/promotion.h
@@ -108,6 +108,10 @@
                         const instance_condition &Condition,
                         base::time_point Now, promotion_actions &Actions);
   /// The platform took the order (\p Accepted) or did not.
+  /// \p Instance is a member of the group. One that joined after the start may
+  /// hold acknowledged commits and is not fenced, so the attempt is given up.
+  void noteMember(const base::instance_id &Instance, base::time_point Now,
+                  promotion_actions &Actions);
   void orderAnswered(bool Accepted, base::time_point Now,
                      promotion_actions &Actions);
   void advance(base::time_point Now, promotion_actions &Actions);
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -74,6 +74,10 @@
     Member.IsListed = true;
   }
   updateMembers();
+  promotion_actions Actions;
+  for (const auto &[Instance, Member] : Members)
+    Promotion.noteMember(Instance, Now, Actions);
+  perform(Actions, Now);
 }
 
 bool group_supervisor::hasLeft(const base::instance_id &Instance,
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -101,6 +101,7 @@
   promotion_actions Actions;
   Promotion.start(Request, Now, Actions);
   if (!Actions.empty()) {
+    IsListWanted = true;
     base::json Fields = Leadership.dump();
     Fields["group"] = Group.str();
     Fields["reason"] = Reason;
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -268,6 +268,17 @@
   enter(promotion_stage::Idle, NotBefore);
 }
 
+void promotion::noteMember(const base::instance_id &Instance,
+                           base::time_point Now, promotion_actions &Actions) {
+  bool IsUndecided =
+      Stage != promotion_stage::Idle && Stage < promotion_stage::Ordering;
+  bool IsKnown = std::ranges::any_of(Request.Members, [&](const auto &Member) {
+    return Member.Instance == Instance;
+  });
+  if (IsUndecided && !IsKnown)
+    giveUp("another instance has joined the group", Now, Actions);
+}
+
 void promotion::chooseCandidate() {
   auto IsDraining = [this](const base::instance_id &Instance) {
     auto Member = std::ranges::find(Request.Members, Instance,
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -269,6 +269,8 @@
     Group->noteListConfirmed(
         Watch.confirmedAt(detail::watched_source::Instances));
     Group->advance(Now);
+    if (Group->takeListWish())
+      Watch.want(detail::watched_source::Instances);
   }
   Members.advance(Now);
   watchStore(Now);
--- a/packages/sessions/src/store_watch.cpp
+++ b/packages/sessions/src/store_watch.cpp
@@ -26,7 +26,7 @@
   if (Source.IsCalling)
     return base::time_point::max();
   bool IsBehind = Source.ReportedVersion > Source.Known.Version;
-  if (IsWatcher || IsBehind || !Source.ConfirmedAt)
+  if (IsWatcher || IsBehind || Source.IsWanted || !Source.ConfirmedAt)
     return Source.NextTryAt;
   return std::max(Source.NextTryAt, *Source.ConfirmedAt + ConfirmationLifetime);
 }
@@ -37,6 +37,7 @@
   if (Now < dueAt(State))
     return std::nullopt;
   State.IsCalling = true;
+  State.IsWanted = false;
   bool IsFirst = !State.ConfirmedAt;
   bool IsFailing = State.RetryDelay > base::duration::zero();
   return IsWatcher && !IsFirst && !IsFailing ? ChangeWait
--- a/packages/sessions/tests/promotion_test.cpp
+++ b/packages/sessions/tests/promotion_test.cpp
@@ -193,6 +193,22 @@
   BOOST_TEST(sent<promotion_order>()[0].Instance == P);
 }
 
+// A commit was acknowledged by the old primary and an instance that had just
+// started; the promotion knew three members and lost it.
+BOOST_FIXTURE_TEST_CASE(is_given_up_when_another_instance_joins, fixture) {
+  claim();
+  fenced(P, 9);
+  fenced(R1, 5);
+  fenced(R2, 5);
+  Promotion.noteMember(R2, Now, Actions);
+  BOOST_TEST(!Promotion.isIdle());
+  Promotion.noteMember(base::instance_id("r3"), Now, Actions);
+  BOOST_TEST(Promotion.isIdle());
+  BOOST_TEST(sent<promotion_unfence>().size() == 3U);
+  pass(2000ms);
+  BOOST_TEST(sent<promotion_order>().empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(ignores_commits_that_no_replica_holds, fixture) {
   claim();
   fenced(P, 9, 0);
--- a/packages/sessions/tests/store_watch_test.cpp
+++ b/packages/sessions/tests/store_watch_test.cpp
@@ -67,6 +67,13 @@
   BOOST_TEST(Watch.startCall(Catalog, at(1800ms)).has_value());
 }
 
+BOOST_FIXTURE_TEST_CASE(when_a_decision_depends_on_it, informed_host) {
+  Watch.want(Catalog);
+  BOOST_TEST(Watch.startCall(Catalog, at(1000ms)).has_value());
+  Watch.confirmed(Catalog, {7, 7}, {at(1000ms), 0ms}, at(1001ms));
+  BOOST_TEST(!Watch.startCall(Catalog, at(2000ms)).has_value());
+}
+
 // A watcher that is itself cut off from the store confirms nothing.
 BOOST_FIXTURE_TEST_CASE(when_nobody_has_confirmed_it_for_long, informed_host) {
   report(7, 500ms, 1000ms);
