Show in the state dump who proves a group's primary

On-call engineers could not tell from /state whether a host asks the instances itself, so the path from a refusal 'no primary is proved' to its cause ended there. The comment of ReachedLifetime named one of its two uses.

--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -40,7 +40,8 @@
 /// Within this time the entries of a failure domain lapse one after another: an
 /// interval of the instances' reports and the delay of the list.
 constexpr base::duration LapseSpread = std::chrono::milliseconds(2500);
-/// An instance that answered a status call so recently is asked alone.
+/// An instance that answered a status call so recently counts as reachable:
+/// more than a lease, so that each renewal of a proof confirms it.
 constexpr base::duration ReachedLifetime = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -406,6 +407,9 @@
   base::json Result = Leadership.dump();
   Result["failed_probes"] = FailedProbes;
   Result["write_timeouts"] = WriteTimeouts;
+  Result["prober"] = Size.IsProber;
+  Result["first_prober"] = Size.IsFirstProber;
+  Result["open_wishes"] = Wishes.size();
   Result["promotion"] = Promotion.dump();
   return Result;
 }
