--- a/packages/daemon/include/radishrelay/daemon/service_threads.h
+++ b/packages/daemon/include/radishrelay/daemon/service_threads.h
@@ -15,14 +15,14 @@
 
 namespace radishrelay::daemon {
 
-using sessions::read_times;
-
 /// Where the threads deliver what they have; called on the loop's thread.
 struct service_events {
   /// Each with the time at which it was asked for and the time it waited.
-  std::function<void(base::expected<sessions::catalog_ptr>, read_times)>
+  std::function<void(base::expected<sessions::catalog_ptr>,
+                     sessions::read_times)>
       Catalog;
-  std::function<void(base::expected<sessions::instance_reading>, read_times)>
+  std::function<void(base::expected<sessions::instance_reading>,
+                     sessions::read_times)>
       Instances;
   std::function<void(sessions::store_call_number, base::store_answer)> Answer;
   std::function<void(sessions::store_call_number, bool Accepted)> Promotion;
@@ -62,8 +62,11 @@
     base::time_point Deadline;
   };
 
-  void runCatalogReads();
-  void runInstanceReads();
+  /// Runs the reads of one source, whose waits come from \p Reads.
+  template <typename Source, typename Handler>
+  void runReads(std::string_view Service,
+                base::bounded_ring<base::duration> &Reads, Source &From,
+                const Handler &Deliver);
   void runTableCalls();
   void runPromotions();
   void report(std::string_view Service, bool &WasLost,
--- a/packages/daemon/src/service_threads.cpp
+++ b/packages/daemon/src/service_threads.cpp
@@ -22,12 +22,17 @@
 } // namespace
 
 service_threads::service_threads(sessions::fleet_services NewServices,
-                                 event_loop &Loop, service_events Events)
-    : Services(std::move(NewServices)), Loop(Loop), Events(std::move(Events)),
-      CatalogReads(MaxWaitingReads), InstanceReads(MaxWaitingReads),
-      TableCalls(MaxWaitingCalls), PromotionCalls(MaxWaitingCalls) {
-  Threads.emplace_back([this] { runCatalogReads(); });
-  Threads.emplace_back([this] { runInstanceReads(); });
+                                 event_loop &Loop, service_events NewEvents)
+    : Services(std::move(NewServices)), Loop(Loop),
+      Events(std::move(NewEvents)), CatalogReads(MaxWaitingReads),
+      InstanceReads(MaxWaitingReads), TableCalls(MaxWaitingCalls),
+      PromotionCalls(MaxWaitingCalls) {
+  Threads.emplace_back([this] {
+    runReads("configuration", CatalogReads, *Services.Catalog, Events.Catalog);
+  });
+  Threads.emplace_back([this] {
+    runReads("instances", InstanceReads, *Services.Instances, Events.Instances);
+  });
   Threads.emplace_back([this] { runTableCalls(); });
   Threads.emplace_back([this] { runPromotions(); });
 }
@@ -72,33 +77,20 @@
   InstanceReads.tryPush(base::duration(Wait));
 }
 
-void service_threads::runCatalogReads() {
+template <typename Source, typename Handler>
+void service_threads::runReads(std::string_view Service,
+                               base::bounded_ring<base::duration> &Reads,
+                               Source &From, const Handler &Deliver) {
   bool IsLost = false;
   while (!IsStopping) {
-    std::optional<base::duration> Wait = CatalogReads.popUntil(in(StopCheck));
+    std::optional<base::duration> Wait = Reads.popUntil(in(StopCheck));
     if (!Wait)
       continue;
-    read_times Times{base::monotonic_clock::now(), *Wait};
-    auto Catalog = Services.Catalog->next(*Wait, in(*Wait + ReadTimeout));
-    report("configuration", IsLost,
-           Catalog ? base::failure{} : Catalog.error());
-    Loop.post([this, Times, Catalog = std::move(Catalog)] {
-      Events.Catalog(Catalog, Times);
-    });
-  }
-}
-
-void service_threads::runInstanceReads() {
-  bool IsLost = false;
-  while (!IsStopping) {
-    std::optional<base::duration> Wait = InstanceReads.popUntil(in(StopCheck));
-    if (!Wait)
-      continue;
-    read_times Times{base::monotonic_clock::now(), *Wait};
-    auto Reading = Services.Instances->next(*Wait, in(*Wait + ReadTimeout));
-    report("instances", IsLost, Reading ? base::failure{} : Reading.error());
-    Loop.post([this, Times, Reading = std::move(Reading)] {
-      Events.Instances(Reading, Times);
+    sessions::read_times Times{base::monotonic_clock::now(), *Wait};
+    auto Reading = From.next(*Wait, in(*Wait + ReadTimeout));
+    report(Service, IsLost, Reading ? base::failure{} : Reading.error());
+    Loop.post([&Deliver, Times, Reading = std::move(Reading)] {
+      Deliver(Reading, Times);
     });
   }
 }
--- a/packages/daemon/src/session_daemon.cpp
+++ b/packages/daemon/src/session_daemon.cpp
@@ -144,10 +144,12 @@
 
 service_events session_daemon::serviceEvents() {
   service_events Events;
-  Events.Catalog = [this](const auto &Catalog, const read_times &Times) {
+  Events.Catalog = [this](const auto &Catalog,
+                          const sessions::read_times &Times) {
     Engine.catalogRead(Catalog, Times, base::monotonic_clock::now());
   };
-  Events.Instances = [this](const auto &Reading, const read_times &Times) {
+  Events.Instances = [this](const auto &Reading,
+                            const sessions::read_times &Times) {
     Engine.instancesRead(Reading, Times, base::monotonic_clock::now());
   };
   Events.Answer = [this](auto Call, const base::store_answer &Answer) {
--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -63,8 +63,7 @@
     if (Leadership.primary() == Instance)
       PrimaryAnsweredAt = Now;
   }
-  void noteWriteTimeout(const base::instance_id &Instance,
-                        base::time_point Now);
+  void noteWriteTimeout(const base::instance_id &Instance);
   void noteCommit(const base::instance_id &Instance,
                   groups::log_position Position, base::time_point SentAt,
                   base::time_point Now);
@@ -177,7 +176,6 @@
   base::time_point FirstFailureAt;
   base::time_point PrimaryAnsweredAt;
   std::uint32_t WriteTimeouts = 0;
-  base::time_point FirstWriteTimeoutAt;
   /// When the primary was first seen leaving, or votes agreed.
   std::optional<base::time_point> ReplaceSince;
   base::time_point NextVoteAt;
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -157,9 +157,6 @@
   void sessionReplied(session &Session, connection &Connection,
                       const backend_reply &Reply, base::time_point SentAt,
                       base::time_point Now);
-  void statementReplied(session &Session, connection &Connection,
-                        const backend_reply &Reply, base::time_point SentAt,
-                        base::time_point Now);
   void noteReply(const connection &Connection, const session &Session,
                  const backend_reply &Reply, base::time_point SentAt,
                  base::time_point Now);
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -186,30 +186,26 @@
   if (Current.size() != Members.size())
     Log.belief("fleet size changed",
                {{"hosts", Current.size()}, {"before", Members.size()}});
-  bool AreHostsSame = std::ranges::equal(
-      Current, Members, [](const auto &Left, const auto &Right) {
-        return Left.first == Right.first &&
-               Left.second.Domain == Right.second.Domain &&
-               Left.second.Address == Right.second.Address;
-      });
   Members = std::move(Current);
   if (!ReadAt) {
     bool IsCounted = Members.contains(Options.Host.str());
     ShareFrom = IsCounted ? Now : Now + Options.NewMemberDelay;
   }
-  if (!AreHostsSame || !ReadAt)
-    noteHosts();
+  noteHosts();
   ReadAt = SentAt;
   IsBehind = false;
   removeLapsed(Now);
 }
 
 void fleet_members::noteHosts() {
-  ++HostsVersion;
   std::string Text;
   for (const auto &[Name, Member] : Members)
     Text += Name + ' ' + Member.Domain + ' ' + Member.Address + '\n';
-  HostsDigest = base::stableHash(Text);
+  std::uint64_t Digest = base::stableHash(Text);
+  if (Digest == HostsDigest)
+    return;
+  HostsDigest = Digest;
+  ++HostsVersion;
   std::vector<std::string> Order =
       base::rendezvousOrder(WatchKey, hosts()[Options.Domain.str()]);
   Order.resize(std::min(Order.size(), WatchersPerDomain));
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -317,12 +317,10 @@
   wantProof(Now);
 }
 
-void group_supervisor::noteWriteTimeout(const base::instance_id &Instance,
-                                        base::time_point Now) {
+void group_supervisor::noteWriteTimeout(const base::instance_id &Instance) {
   if (Leadership.primary() != Instance)
     return;
-  if (WriteTimeouts++ == 0)
-    FirstWriteTimeoutAt = Now;
+  ++WriteTimeouts;
 }
 
 void group_supervisor::noteCommit(const base::instance_id &Instance,
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -197,8 +197,7 @@
   if (Stage < promotion_stage::Fencing || Stage > promotion_stage::Verifying)
     return;
   if (Condition.Term > Request.Term)
-    giveUp("another promotion took effect", Now,
-           Actions); // another promotion took effect
+    giveUp("another promotion took effect", Now, Actions);
   else if (Stage == promotion_stage::Verifying)
     onVerified(Instance, Condition, Now, Actions);
   else
--- a/packages/sessions/src/session_failures.cpp
+++ b/packages/sessions/src/session_failures.cpp
@@ -117,7 +117,7 @@
   bool MayHaveCommitted =
       HasRun && (IsCommit || (Operation.IsWrite && !IsInTransaction));
   if (Group && MayHaveCommitted)
-    Group->noteWriteTimeout(Instance, Now);
+    Group->noteWriteTimeout(Instance);
   if (Group)
     Group->noteFailure(Instance, Now);
   if (Connection)
--- a/packages/sessions/src/session_replies.cpp
+++ b/packages/sessions/src/session_replies.cpp
@@ -180,7 +180,10 @@
     return;
   case stage::Running:
     noteReply(Connection, Session, Reply, SentAt, Now);
-    statementReplied(Session, Connection, Reply, SentAt, Now);
+    if (Reply.Error)
+      statementFailed(Session, Connection, Reply, Now);
+    else
+      statementSucceeded(Session, Connection, Reply, Now);
     return;
   default:
     backendLost(Connection.Number, std::nullopt, Now);
@@ -243,15 +246,6 @@
               "the instance did not open the transaction", Now);
 }
 
-void session_engine::statementReplied(session &Session, connection &Connection,
-                                      const backend_reply &Reply,
-                                      base::time_point, base::time_point Now) {
-  if (Reply.Error)
-    statementFailed(Session, Connection, Reply, Now);
-  else
-    statementSucceeded(Session, Connection, Reply, Now);
-}
-
 void session_engine::statementSucceeded(session &Session,
                                         connection &Connection,
                                         const backend_reply &Reply,
