--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -34,8 +34,12 @@
   /// platform lists.
   void setListings(const std::map<base::instance_id, instance_listing> &List,
                    base::time_point Now);
-  /// Records that the list of instances was still current at \p Time.
-  void recordListConfirmed(base::time_point Time) { ListConfirmedAt = Time; }
+  /// Records that the list of instances was still current at \p Time, and
+  /// whether it is known to contain all live instances.
+  void recordListConfirmed(base::time_point Time, bool IsComplete) {
+    ListConfirmedAt = Time;
+    IsListComplete = IsComplete;
+  }
   void setSettings(const group_settings &Settings);
   void setRoles(const group_roles &NewRoles) { Roles = NewRoles; }
   /// Account to which connections opened for status, fence and demote calls are
@@ -113,8 +117,13 @@
     base::time_point UnlistedAt;
     /// When the instance was first listed as draining.
     base::time_point LeavingSince;
+    base::time_point FirstListedAt;
   };
 
+  /// Whether the instance that replaces a leaving one may have started without
+  /// being listed, because its failure domain has been cut off since.
+  [[nodiscard]] bool isSuccessorAwaited(base::time_point Now) const;
+
   /// Whether a replica that is no longer listed has terminated after it had
   /// announced that it leaves. Its log is lost with it, so a promotion does not
   /// need to fence it. Never true for the primary, since an acknowledged commit
@@ -153,6 +162,12 @@
   void castVote(base::time_point Now);
   /// Whether enough instances are reachable to fence all but one.
   [[nodiscard]] bool canFence(base::time_point Now) const;
+  /// Whether the replicas are known to hold every acknowledged commit, so that
+  /// the primary can be replaced although it does not answer.
+  [[nodiscard]] bool canReplaceWithoutPrimary(base::time_point Now) const;
+  /// The primary, if it leads the highest known term.
+  [[nodiscard]] std::optional<base::instance_id> primaryOfHighestTerm() const;
+  [[nodiscard]] replica_knowledge replicaKnowledge(base::time_point Now) const;
   /// Whether a recent status of the primary shows it as primary in the highest
   /// known term.
   [[nodiscard]] bool doesPrimaryLead(base::time_point Now) const;
@@ -177,6 +192,11 @@
   /// Failure domains of the listed instances of all groups.
   std::set<base::failure_domain_id> ListedDomains;
   base::time_point ListConfirmedAt;
+  bool IsListComplete = false;
+  /// When a replica was last known to have left or restarted, or the present
+  /// primary was first proved. Commits acknowledged before may have no copy on
+  /// the present replicas.
+  base::time_point ReplicasChangedAt;
   bool IsListRequested = false;
 
   /// Last time at which a session or another host needed a proof.
@@ -198,6 +218,9 @@
   std::uint32_t FailedProbes = 0;
   base::time_point FirstFailureAt;
   base::time_point PrimaryAnsweredAt;
+  /// Since when the primary has answered as a replica of its own term, which it
+  /// does after a demotion without a promotion.
+  std::optional<base::time_point> DemotedSince;
   std::uint32_t WriteTimeouts = 0;
   /// Since when a replacement is due: the primary was first seen leaving, or
   /// the votes reached a quorum.
--- a/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
@@ -58,6 +58,10 @@
   [[nodiscard]] base::time_point confirmedAt(watched_source Source) const {
     return sourceEntry(Source).ConfirmedAt.value_or(base::time_point{});
   }
+  /// Whether the source contains all entries of live instances. After an outage
+  /// of the store, it takes them some time to report again.
+  [[nodiscard]] bool isComplete(watched_source Source,
+                                base::time_point Now) const;
   [[nodiscard]] base::time_point nextWake() const;
   [[nodiscard]] base::json dump() const;
 
@@ -74,6 +78,8 @@
     bool IsCalling = false;
     bool IsReadRequested = false;
     bool HadOutage = false;
+    /// First confirmation after the last outage, or after the start.
+    base::time_point OutageEndedAt;
   };
 
   [[nodiscard]] const source &sourceEntry(watched_source Source) const {
--- a/packages/sessions/include/radishrelay/sessions/promotion.h
+++ b/packages/sessions/include/radishrelay/sessions/promotion.h
@@ -41,7 +41,8 @@
 struct promotion_store_call {
   base::store_request Request;
 };
-/// Requests that a replica be fenced, or a primary be demoted, for a term.
+/// Requests that a replica be fenced, or a primary be demoted, for a term. A
+/// demoted primary is fenced afterwards.
 struct promotion_fence {
   base::instance_id Instance;
   bool IsPrimary = false;
@@ -80,20 +81,41 @@
 
 /// The primary to replace, and the members of its group.
 struct promotion_request {
-  /// Empty when no primary is known.
+  /// The primary of Term; empty when that is not known.
   base::instance_id OldPrimary;
   groups::term_number Term = 0;
   std::vector<promotion_member> Members;
+  /// Whether the old primary answers, so that it can be demoted before the
+  /// replicas are fenced. They then receive what it has still committed.
+  bool IsPrimaryReachable = false;
+};
+
+/// What the host knows about the replicas of a group, for a promotion without
+/// the old primary.
+struct replica_knowledge {
+  /// Position that a replica must have reached to hold every commit that was
+  /// acknowledged with a replica that has left, restarted or is not listed;
+  /// empty if no such position is known.
+  std::optional<groups::log_position> NeededPosition;
+  /// Whether the list of members is known to contain every live instance.
+  bool IsListComplete = false;
+
+  friend bool operator==(const replica_knowledge &,
+                         const replica_knowledge &) = default;
 };
 
 /// State machine that replaces the primary of one database group.
 ///
-/// An acknowledged commit is held by the primary and a replica. All members but
-/// one must be fenced, so at least one fenced instance holds each acknowledged
-/// commit, and no further commit can be acknowledged. The most advanced fenced
-/// instance is promoted. One host at a time may do this: it holds the claim, a
-/// row in the table store that is written under a condition on its version. The
-/// version of the claim is the generation number of the order.
+/// Each acknowledged commit is in the log of the primary and was received by a
+/// replica. The most advanced fenced instance is promoted. If the old primary
+/// is among the fenced instances, the promoted one therefore holds all
+/// acknowledged commits. Otherwise all replicas must be fenced, no replica may
+/// be unknown, and one must have reached replica_knowledge::NeededPosition,
+/// since a replica that has left may have taken its copy of a commit along.
+///
+/// One host at a time may do this: it holds the claim, a row in the table store
+/// that is written under a condition on its version. The version of the claim
+/// is the generation number of the order.
 ///
 /// The caller executes the actions that the functions append.
 class promotion {
@@ -110,11 +132,15 @@
   void instanceAnswered(const base::instance_id &Instance,
                         const instance_status &Status, base::time_point Now,
                         promotion_actions &Actions);
-  /// Reports that \p Instance is listed as a member of the group. An instance
-  /// that joined after the start may hold acknowledged commits and is not
-  /// fenced, so the attempt is abandoned.
-  void recordListedMember(const base::instance_id &Instance,
-                          base::time_point Now, promotion_actions &Actions);
+  /// Sets what is known about the replicas now.
+  void setReplicaKnowledge(const replica_knowledge &Value) {
+    Knowledge = Value;
+  }
+  /// Reports that \p Member is listed as a member of the group. One that
+  /// joined after the start may hold acknowledged commits, so it takes part in
+  /// the attempt.
+  void recordListedMember(const promotion_member &Member, base::time_point Now,
+                          promotion_actions &Actions);
   /// Handles the platform's answer to the order, which it accepted or rejected.
   void orderAnswered(bool Accepted, base::time_point Now,
                      promotion_actions &Actions);
@@ -147,14 +173,21 @@
   void onFenceAnswer(const base::instance_id &Instance,
                      const instance_status &Status, base::time_point Now,
                      promotion_actions &Actions);
+  void onUnfencedAnswer(const base::instance_id &Instance,
+                        const instance_status &Status,
+                        promotion_actions &Actions);
   void onVerified(const base::instance_id &Instance,
                   const instance_status &Status, base::time_point Now,
                   promotion_actions &Actions);
   void onCandidateAnswer(const instance_status &Status, base::time_point Now,
                          promotion_actions &Actions);
-  [[nodiscard]] bool isFenced(const base::instance_id &Instance,
-                              const instance_status &Status) const;
+  [[nodiscard]] bool isFenced(const instance_status &Status) const;
   [[nodiscard]] std::size_t neededFences() const;
+  [[nodiscard]] bool isMember(const base::instance_id &Instance) const;
+  void fence(const base::instance_id &Instance,
+             promotion_actions &Actions) const;
+  /// Whether the verified instances hold every acknowledged commit.
+  [[nodiscard]] bool holdsAllCommits() const;
   void chooseCandidate();
   void order(base::time_point Now, promotion_actions &Actions);
   [[nodiscard]] base::row_key claimKey() const;
@@ -180,6 +213,9 @@
   std::map<base::instance_id, instance_status> Fenced;
   /// Time at which enough members were fenced.
   std::optional<base::time_point> FencedAt;
+  /// Whether the old primary has reported that it is a replica.
+  bool IsPrimaryDemoted = false;
+  replica_knowledge Knowledge;
   /// Members found still fenced after the leases have expired.
   std::set<base::instance_id> Verified;
   base::instance_id Candidate;
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -74,7 +74,14 @@
     ListedDomains.insert(Listing.Domain);
     if (Listing.Group != Group)
       continue;
-    member_state &Member = Members[Instance];
+    auto [Entry, IsNew] = Members.try_emplace(Instance);
+    member_state &Member = Entry->second;
+    if (IsNew)
+      Member.FirstListedAt = Now;
+    bool IsRestarted = Member.Listing.StartedAt != 0 &&
+                       Member.Listing.StartedAt != Listing.StartedAt;
+    if (IsRestarted && Leadership.primary() != Instance)
+      ReplicasChangedAt = Now;
     if (Listing.Draining && !Member.Listing.Draining)
       Member.LeavingSince = Now;
     Member.Listing = Listing;
@@ -83,7 +90,8 @@
   updateMembers();
   promotion_actions Actions;
   for (const auto &[Instance, Member] : Members)
-    Promotion.recordListedMember(Instance, Now, Actions);
+    Promotion.recordListedMember({Instance, Member.Listing.Draining}, Now,
+                                 Actions);
   executeActions(Actions, Now);
 }
 
@@ -309,12 +317,14 @@
   IsProbing = false;
   FailedProbes = 0;
   FirstFailureAt = {};
+  DemotedSince.reset();
   answerOpenRequests(Now);
   if (LoggedPrimary == Leadership.primary() && LoggedTerm == Leadership.term())
     return;
   LoggedPrimary = Leadership.primary();
   LoggedTerm = Leadership.term();
   WriteTimeouts = 0;
+  ReplicasChangedAt = Now;
   ReplaceDueSince.reset();
   base::json Fields = Leadership.dump();
   Fields["group"] = Group.str();
@@ -354,7 +364,13 @@
                                     base::time_point SentAt,
                                     base::time_point Now) {
   Leadership.recordStatus(Instance, Status, SentAt);
+  bool IsDemoted = Leadership.primary() == Instance &&
+                   Status.Role == groups::instance_role::Replica &&
+                   Status.Term == Leadership.highestTerm();
+  if (IsDemoted && !DemotedSince)
+    DemotedSince = Now;
   promotion_actions Actions;
+  Promotion.setReplicaKnowledge(replicaKnowledge(Now));
   Promotion.instanceAnswered(Instance, Status, Now, Actions);
   executeActions(Actions, Now);
   bool IsReachable = !Roles.IsProber && IsProbing &&
@@ -384,6 +400,8 @@
                  (Now >= Member.UnlistedAt + Options.UnlistedLifetime ||
                   hasLeft(Entry.first, Member));
     AreMembersRemoved = AreMembersRemoved || IsOld;
+    if (IsOld && Leadership.primary() != Entry.first)
+      ReplicasChangedAt = Now;
     return IsOld;
   });
   if (AreMembersRemoved)
@@ -393,6 +411,7 @@
   seekProof(Now);
   considerPromotion(Now);
   promotion_actions Actions;
+  Promotion.setReplicaKnowledge(replicaKnowledge(Now));
   Promotion.advance(Now, Actions);
   executeActions(Actions, Now);
 }
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -1,6 +1,8 @@
 // Votes and promotions of group_supervisor.
 #include "radishrelay/sessions/detail/group_supervisor.h"
 
+#include <algorithm>
+
 namespace radishrelay::sessions::detail {
 
 namespace {
@@ -8,19 +10,26 @@
 /// A single write time-out may be a lost answer; two without a successful write
 /// in between indicate a failure.
 constexpr std::uint32_t MinWriteTimeoutsToVote = 2;
+/// Time within which the host that demoted a primary promotes an instance. If
+/// it does not, the primary counts as lost although it answers.
+constexpr base::duration DemotionPeriod = std::chrono::milliseconds(1500);
+/// Time within which the successor of a leaving instance is listed, 1 s, and
+/// for which the entry of an instance stays listed that is cut off, 3.6 s.
+constexpr base::duration SuccessorPeriod = std::chrono::milliseconds(4600);
 
 } // namespace
 
 bool group_supervisor::isVoteDue(base::time_point Now) const {
-  bool IsLost =
-      FailedProbes >= 2 &&
-      Now >= std::max(FirstFailureAt, PrimaryAnsweredAt) + Options.VoteDelay;
+  base::time_point LedUntil =
+      DemotedSince ? *DemotedSince + DemotionPeriod : PrimaryAnsweredAt;
+  bool IsLost = FailedProbes >= 2 &&
+                Now >= std::max(FirstFailureAt, LedUntil) + Options.VoteDelay;
   bool AreWritesLost = WriteTimeouts >= MinWriteTimeoutsToVote;
   return IsLost || AreWritesLost;
 }
 
 bool group_supervisor::isPrimaryLeaving() const {
-  if (!Leadership.primary())
+  if (!Leadership.primary() || DemotedSince)
     return false;
   auto Member = Members.find(*Leadership.primary());
   return Member != Members.end() && Member->second.IsListed &&
@@ -37,6 +46,51 @@
   return Reached + 1 >= Members.size();
 }
 
+std::optional<base::instance_id>
+group_supervisor::primaryOfHighestTerm() const {
+  if (Leadership.term() != Leadership.highestTerm())
+    return std::nullopt;
+  return Leadership.primary();
+}
+
+replica_knowledge
+group_supervisor::replicaKnowledge(base::time_point Now) const {
+  replica_knowledge Knowledge;
+  if (primaryOfHighestTerm())
+    Knowledge.NeededPosition = Leadership.positionSince(ReplicasChangedAt);
+  Knowledge.IsListComplete = IsListComplete && !isSuccessorAwaited(Now);
+  return Knowledge;
+}
+
+bool group_supervisor::isSuccessorAwaited(base::time_point Now) const {
+  return std::ranges::any_of(Members, [&](const auto &Entry) {
+    const member_state &Leaving = Entry.second;
+    bool HasSuccessor =
+        std::ranges::any_of(Members, [&](const auto &OtherEntry) {
+          const member_state &Other = OtherEntry.second;
+          return !Other.Listing.Draining &&
+                 Other.Listing.Domain == Leaving.Listing.Domain &&
+                 Other.FirstListedAt >= Leaving.LeavingSince;
+        });
+    base::time_point SeenUntil = Leaving.IsListed ? Now : Leaving.UnlistedAt;
+    return Leaving.Listing.Draining && !HasSuccessor &&
+           SeenUntil < Leaving.LeavingSince + SuccessorPeriod;
+  });
+}
+
+bool group_supervisor::canReplaceWithoutPrimary(base::time_point Now) const {
+  std::optional<base::instance_id> Primary = primaryOfHighestTerm();
+  replica_knowledge Knowledge = replicaKnowledge(Now);
+  if (!Primary || !Members.contains(*Primary))
+    return Knowledge.IsListComplete;
+  bool IsHeld =
+      std::ranges::any_of(Leadership.statuses(), [&](const auto &Entry) {
+        return Entry.first != *Primary && Knowledge.NeededPosition &&
+               Entry.second.Status.Received >= *Knowledge.NeededPosition;
+      });
+  return Knowledge.IsListComplete && IsHeld;
+}
+
 bool group_supervisor::doesPrimaryLead(base::time_point Now) const {
   auto Dated = Leadership.statuses().find(*Leadership.primary());
   return isReachable(*Leadership.primary(), Now) &&
@@ -64,7 +118,12 @@
   if (Now < *ReplaceDueSince + Roles.PromotionDelay)
     return;
   // Avoids replacing a leaving primary that another host has already replaced.
-  bool IsViewFresh = canFence(Now) && (!IsLeaving || doesPrimaryLead(Now));
+  std::optional<base::instance_id> Primary = primaryOfHighestTerm();
+  bool CanReplace = IsLeaving ? doesPrimaryLead(Now)
+                              : DemotedSince ||
+                                    (Primary && isReachable(*Primary, Now)) ||
+                                    canReplaceWithoutPrimary(Now);
+  bool IsViewFresh = canFence(Now) && CanReplace;
   if (!IsViewFresh)
     startProbeIfDue(Now);
   else
@@ -96,8 +155,11 @@
 void group_supervisor::startPromotion(base::time_point Now,
                                       std::string_view Reason) {
   promotion_request Request;
-  if (Leadership.primary())
-    Request.OldPrimary = *Leadership.primary();
+  if (std::optional<base::instance_id> Primary = primaryOfHighestTerm()) {
+    Request.OldPrimary = *Primary;
+    Request.IsPrimaryReachable =
+        DemotedSince.has_value() || isReachable(*Primary, Now);
+  }
   Request.Term = Leadership.highestTerm();
   for (const auto &[Instance, Member] : Members)
     Request.Members.push_back({Instance, Member.Listing.Draining});
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -20,6 +20,9 @@
 constexpr base::duration StoreTimeout = std::chrono::milliseconds(1000);
 /// Time between repeated fence or status calls: some round trips.
 constexpr base::duration CallInterval = std::chrono::milliseconds(80);
+/// Time by which the fences of the replicas follow the demotion of a primary
+/// that answers.
+constexpr base::duration DemotionLeadTime = std::chrono::milliseconds(40);
 /// Time to wait for the most advanced instance once enough members are fenced.
 constexpr base::duration FenceTimeout = std::chrono::milliseconds(120);
 constexpr base::duration OrderTimeout = std::chrono::milliseconds(600);
@@ -160,31 +163,45 @@
 
 void promotion::beginFencing(base::time_point Now, promotion_actions &Actions) {
   NewTerm = Request.Term + 1;
-  enter(promotion_stage::Fencing, Now + CallInterval);
   FencedAt.reset();
+  IsPrimaryDemoted = false;
+  if (Request.IsPrimaryReachable && isMember(Request.OldPrimary)) {
+    enter(promotion_stage::Fencing, Now + DemotionLeadTime);
+    fence(Request.OldPrimary, Actions);
+    return;
+  }
+  enter(promotion_stage::Fencing, Now + CallInterval);
   sendFences(Actions);
 }
 
+void promotion::fence(const base::instance_id &Instance,
+                      promotion_actions &Actions) const {
+  bool IsPrimary = Instance == Request.OldPrimary && !IsPrimaryDemoted;
+  Actions.push_back(promotion_fence{Instance, IsPrimary, NewTerm});
+}
+
 void promotion::sendFences(promotion_actions &Actions) const {
   for (const promotion_member &Member : Request.Members)
     if (!Fenced.contains(Member.Instance))
-      Actions.push_back(promotion_fence{
-          Member.Instance, Member.Instance == Request.OldPrimary, NewTerm});
+      fence(Member.Instance, Actions);
+}
+
+bool promotion::isMember(const base::instance_id &Instance) const {
+  return std::ranges::any_of(Request.Members, [&](const auto &Member) {
+    return Member.Instance == Instance;
+  });
 }
 
 std::size_t promotion::neededFences() const {
+  // If the primary is one of the members, one of them may be missing: either
+  // the primary itself, or a replica, whose commits the primary holds.
   std::size_t Count = Request.Members.size();
-  return Count > 1 ? Count - 1 : Count;
+  return Count > 1 && isMember(Request.OldPrimary) ? Count - 1 : Count;
 }
 
-bool promotion::isFenced(const base::instance_id &Instance,
-                         const instance_status &Status) const {
-  // A replica that is not fenced can still acknowledge commits; a demoted
-  // primary cannot.
-  bool IsDemoted = Instance == Request.OldPrimary &&
-                   Status.Role == groups::instance_role::Replica;
+bool promotion::isFenced(const instance_status &Status) const {
   return Status.Role == groups::instance_role::Replica &&
-         (IsDemoted || Status.FencedTerm >= NewTerm);
+         Status.FencedTerm >= NewTerm;
 }
 
 void promotion::instanceAnswered(const base::instance_id &Instance,
@@ -210,11 +227,8 @@
                               const instance_status &Status,
                               base::time_point Now,
                               promotion_actions &Actions) {
-  if (!isFenced(Instance, Status)) {
-    bool IsUnknownPrimary = Status.Role == groups::instance_role::Primary &&
-                            Instance != Request.OldPrimary;
-    if (IsUnknownPrimary)
-      Actions.push_back(promotion_fence{Instance, true, NewTerm});
+  if (!isFenced(Status)) {
+    onUnfencedAnswer(Instance, Status, Actions);
     return;
   }
   Fenced[Instance] = Status;
@@ -226,20 +240,41 @@
     enter(promotion_stage::AwaitingLeases, Now + FenceTimeout);
 }
 
+void promotion::onUnfencedAnswer(const base::instance_id &Instance,
+                                 const instance_status &Status,
+                                 promotion_actions &Actions) {
+  bool IsPrimary = Status.Role == groups::instance_role::Primary;
+  bool IsOldPrimary = Instance == Request.OldPrimary;
+  if (IsPrimary && !IsOldPrimary) {
+    Actions.push_back(promotion_fence{Instance, true, NewTerm});
+  } else if (!IsPrimary && IsOldPrimary && !IsPrimaryDemoted) {
+    // The replicas are fenced now too; see promotion_request.
+    IsPrimaryDemoted = true;
+    sendFences(Actions);
+  }
+}
+
 void promotion::beginVerifying(base::time_point Now,
                                promotion_actions &Actions) {
   Verified.clear();
   enter(promotion_stage::Verifying, Now + CallInterval);
   for (const auto &[Instance, Status] : Fenced)
     Actions.push_back(promotion_status{Instance});
+  // A member that answers only now may be the one that the promotion lacks.
+  sendFences(Actions);
 }
 
 void promotion::onVerified(const base::instance_id &Instance,
                            const instance_status &Status, base::time_point Now,
                            promotion_actions &Actions) {
-  if (!Fenced.contains(Instance))
+  if (!Fenced.contains(Instance)) {
+    if (isFenced(Status))
+      Fenced[Instance] = Status;
+    else
+      onUnfencedAnswer(Instance, Status, Actions);
     return;
-  if (!isFenced(Instance, Status)) {
+  }
+  if (!isFenced(Status)) {
     // The instance restarted and lost its fence, so it may have confirmed
     // proofs of the old primary since; fencing starts again.
     Fenced.erase(Instance);
@@ -248,7 +283,7 @@
   }
   Fenced[Instance] = Status;
   Verified.insert(Instance);
-  if (Verified.size() < neededFences())
+  if (Verified.size() < neededFences() || !holdsAllCommits())
     return;
   chooseCandidate();
   order(Now, Actions);
@@ -271,16 +306,35 @@
   enter(promotion_stage::Idle, NotBefore);
 }
 
-void promotion::recordListedMember(const base::instance_id &Instance,
+void promotion::recordListedMember(const promotion_member &Member,
                                    base::time_point Now,
                                    promotion_actions &Actions) {
   bool IsUndecided =
       Stage != promotion_stage::Idle && Stage < promotion_stage::Ordering;
-  bool IsKnown = std::ranges::any_of(Request.Members, [&](const auto &Member) {
-    return Member.Instance == Instance;
-  });
-  if (IsUndecided && !IsKnown)
-    abandon("another instance has joined the group", Now, Actions);
+  if (!IsUndecided || isMember(Member.Instance))
+    return;
+  Request.Members.push_back(Member);
+  if (Stage < promotion_stage::Fencing)
+    return;
+  fence(Member.Instance, Actions);
+  if (Fenced.size() >= neededFences())
+    return;
+  FencedAt.reset();
+  enter(promotion_stage::Fencing, Now + CallInterval);
+}
+
+bool promotion::holdsAllCommits() const {
+  if (Verified.contains(Request.OldPrimary))
+    return true;
+  if (!Knowledge.IsListComplete)
+    return false;
+  // A primary that is no longer a member is lost with all that only it holds.
+  if (!isMember(Request.OldPrimary))
+    return true;
+  return Knowledge.NeededPosition &&
+         std::ranges::any_of(Verified, [this](const auto &Instance) {
+           return Fenced.at(Instance).Received >= *Knowledge.NeededPosition;
+         });
 }
 
 void promotion::chooseCandidate() {
@@ -289,23 +343,14 @@
                                     &promotion_member::Instance);
     return Member != Request.Members.end() && Member->Draining;
   };
-  std::size_t FencedReplicas =
-      Verified.size() - Verified.count(Request.OldPrimary);
-  // If every replica is fenced, each acknowledged commit is on one of them, and
-  // the old primary does not have to be promoted again.
-  bool AreReplicasComplete =
-      FencedReplicas > 0 && FencedReplicas + 1 >= Request.Members.size();
   auto Rank = [&](const base::instance_id &Instance) {
     return std::tuple(Fenced.at(Instance).Received, !IsDraining(Instance),
                       Instance != Request.OldPrimary);
   };
   Candidate = {};
-  for (const base::instance_id &Instance : Verified) {
-    if (AreReplicasComplete && Instance == Request.OldPrimary)
-      continue;
+  for (const base::instance_id &Instance : Verified)
     if (Candidate.empty() || Rank(Candidate) < Rank(Instance))
       Candidate = Instance;
-  }
 }
 
 void promotion::order(base::time_point Now, promotion_actions &Actions) {
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -270,7 +270,8 @@
   closeOverdueConnections(Now);
   for (auto &[Id, Group] : Groups) {
     Group->recordListConfirmed(
-        Watch.confirmedAt(detail::watched_source::Instances));
+        Watch.confirmedAt(detail::watched_source::Instances),
+        Watch.isComplete(detail::watched_source::Instances, Now));
     Group->advance(Now);
     if (Group->takeListRequest())
       Watch.requestRead(detail::watched_source::Instances);
--- a/packages/sessions/src/store_watch.cpp
+++ b/packages/sessions/src/store_watch.cpp
@@ -21,6 +21,9 @@
 /// Time without a confirmation after which the entries of instances may have
 /// expired: three of their report intervals less the delay of a report.
 constexpr base::duration OutageThreshold = std::chrono::milliseconds(3000);
+/// Time within which live instances report again after an outage, two seconds,
+/// and the delay of a report.
+constexpr base::duration ReturnPeriod = std::chrono::milliseconds(2500);
 
 } // namespace
 
@@ -59,6 +62,8 @@
       Entry.RetryDelay > base::duration::zero() ||
       (Entry.ConfirmedAt && AsOf > *Entry.ConfirmedAt + OutageThreshold);
   Entry.RetryDelay = {};
+  if (Entry.HadOutage || !Entry.ConfirmedAt)
+    Entry.OutageEndedAt = AsOf;
   Entry.Known = State;
   Entry.ConfirmedAt = std::max(Entry.ConfirmedAt.value_or(AsOf), AsOf);
   Entry.NextTryAt = IsWatcher ? Now : Now + ReadInterval;
@@ -83,11 +88,22 @@
       Entry.ReportedVersion =
           std::max(Entry.ReportedVersion, Reported.ChangedVersion);
     } else if (Entry.ConfirmedAt) {
-      Entry.ConfirmedAt = std::max(*Entry.ConfirmedAt, Now - Reported.Age);
+      base::time_point AsOf = Now - Reported.Age;
+      if (AsOf > *Entry.ConfirmedAt + OutageThreshold)
+        Entry.OutageEndedAt = AsOf;
+      Entry.ConfirmedAt = std::max(*Entry.ConfirmedAt, AsOf);
     }
   }
 }
 
+bool store_watch::isComplete(watched_source Source,
+                             base::time_point Now) const {
+  const source &Entry = sourceEntry(Source);
+  bool IsFailing = Entry.RetryDelay > base::duration::zero();
+  return Entry.ConfirmedAt && !IsFailing &&
+         Now >= Entry.OutageEndedAt + ReturnPeriod;
+}
+
 std::optional<watch_report> store_watch::takeReport(base::time_point Now) {
   if (!IsWatcher || !HasUpdate)
     return std::nullopt;
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -88,10 +88,13 @@
     instance("r1").Log = instance("p").Log;
   }
 
-  void endReplicaAndPrimary() {
+  void endReplica() {
     instance("r2").IsUnresponsive = true;
     listings().erase(R2);
     publishListings();
+  }
+  void endReplicaAndPrimary() {
+    endReplica();
     instance("p").IsUnresponsive = true;
   }
 
@@ -114,12 +117,44 @@
 BOOST_AUTO_TEST_CASE(gets_a_new_primary_without_the_replica_that_left) {
   leaving_fleet Fleet;
   Fleet.addNeighbour();
-  Fleet.endReplicaAndPrimary();
-  maxWriteGap(Fleet, Fleet.connect("primary"), 6500ms);
+  Fleet.endReplica();
+  session_number Session = Fleet.connect("primary");
+  maxWriteGap(Fleet, Session, 4500ms);
+  Fleet.instance("r1").Log = Fleet.instance("p").Log;
+  Fleet.instance("p").IsUnresponsive = true;
+  maxWriteGap(Fleet, Session, 3500ms);
   BOOST_REQUIRE(Fleet.PromotionOrders.size() == 1U);
   BOOST_TEST(Fleet.PromotionOrders[0].first == base::instance_id("r1"));
 }
 
+// Guards against lost commits: r2 may have been the only replica that had
+// received the last ones, and only the primary that stopped with it has them.
+BOOST_AUTO_TEST_CASE(gets_no_new_primary_before_r1_is_known_to_hold_the_log) {
+  leaving_fleet Fleet;
+  Fleet.addNeighbour();
+  Fleet.endReplicaAndPrimary();
+  session_number Session = Fleet.connect("primary");
+  maxWriteGap(Fleet, Session, 6500ms);
+  BOOST_TEST(Fleet.PromotionOrders.empty());
+
+  Fleet.instance("p").IsUnresponsive = false;
+  Fleet.instance("r1").Log.Offset -= 1;
+  maxWriteGap(Fleet, Session, 2000ms);
+  BOOST_TEST(!Fleet.ask(Session, "write x 1").Error.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(gets_a_new_primary_once_the_old_one_is_lost_for_good) {
+  leaving_fleet Fleet;
+  Fleet.addNeighbour();
+  Fleet.endReplicaAndPrimary();
+  Fleet.advanceTime(3000ms);
+  Fleet.listings().erase(base::instance_id("p"));
+  Fleet.publishListings();
+  maxWriteGap(Fleet, Fleet.connect("primary"), 12000ms);
+  BOOST_REQUIRE(!Fleet.PromotionOrders.empty());
+  BOOST_TEST(Fleet.PromotionOrders[0].first == base::instance_id("r1"));
+}
+
 // The entry of r2 may have expired because its failure domain is cut off, where
 // it may still acknowledge commits. A promotion without it could lose them.
 BOOST_AUTO_TEST_CASE(
@@ -152,6 +187,41 @@
   BOOST_TEST(Fleet.ask(Session, "read x").Receipt == "receipt:r1");
 }
 
+// Guards against lost commits: the instance that replaces the leaving primary
+// may have started behind the cut and acknowledged commits with it.
+BOOST_AUTO_TEST_CASE(
+    gets_no_new_primary_if_it_is_cut_off_before_its_successor_is_listed) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  Fleet.instance("r1").Log = Fleet.instance("p").Log;
+  Fleet.listings().at(base::instance_id("p")).Draining = true;
+  Fleet.publishListings();
+  Fleet.instance("p").IsUnresponsive = true;
+  maxWriteGap(Fleet, Session, 3000ms);
+  Fleet.listings().erase(base::instance_id("p"));
+  Fleet.publishListings();
+  maxWriteGap(Fleet, Session, 5000ms);
+  BOOST_TEST(Fleet.PromotionOrders.empty());
+  maxWriteGap(Fleet, Session, 6000ms);
+  BOOST_TEST(Fleet.PromotionOrders.size() == 1U);
+}
+
+// Guards against a group without a primary: the host that demoted it has
+// stopped before it ordered a promotion, and the instance answers as a replica.
+BOOST_AUTO_TEST_CASE(gets_another_one_if_it_was_demoted_and_not_replaced) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  Fleet.instance("r1").Log = Fleet.instance("p").Log;
+  Fleet.listings().at(base::instance_id("p")).Draining = true;
+  Fleet.instance("p").Role = groups::instance_role::Replica;
+  Fleet.publishListings();
+  maxWriteGap(Fleet, Session, 5000ms);
+  BOOST_TEST(Fleet.PromotionOrders.size() == 1U);
+  BOOST_TEST(!Fleet.ask(Session, "write x 2").Error.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(
     is_not_promoted_again_by_a_host_that_sees_the_listing_late) {
   fake_fleet Fleet;
--- a/packages/sessions/tests/promotion_test.cpp
+++ b/packages/sessions/tests/promotion_test.cpp
@@ -24,8 +24,8 @@
   }
 
   void start() {
-    Promotion.start({P, 1, {{P, false}, {R1, false}, {R2, false}}}, Now,
-                    Actions);
+    Promotion.setReplicaKnowledge(Knowledge);
+    Promotion.start(Request, Now, Actions);
   }
 
   base::store_answer done(base::row_version Version) const {
@@ -63,6 +63,21 @@
     return Result;
   }
 
+  /// The status of a primary that has been demoted and not yet fenced.
+  void demoted(groups::log_offset Offset) { fenced(P, Offset, 0); }
+
+  /// The last of the calls that fence or demote \p Instance.
+  promotion_fence lastFence(const base::instance_id &Instance) const {
+    promotion_fence Last;
+    for (const promotion_fence &Fence : sent<promotion_fence>())
+      if (Fence.Instance == Instance)
+        Last = Fence;
+    return Last;
+  }
+
+  promotion_request Request{
+      P, 1, {{P, false}, {R1, false}, {R2, false}}, false};
+  replica_knowledge Knowledge{groups::log_position{1, 5}, true};
   base::time_point Now = base::fromMicroseconds(1'000'000);
   promotion Promotion;
   promotion_actions Actions;
@@ -184,50 +199,223 @@
   BOOST_TEST(sent<promotion_order>().empty());
 }
 
-BOOST_FIXTURE_TEST_CASE(
-    promotes_the_old_primary_if_it_is_ahead_and_a_replica_is_not_fenced,
-    fixture) {
+BOOST_AUTO_TEST_SUITE(with_the_old_primary)
+
+BOOST_FIXTURE_TEST_CASE(fences_it_once_it_is_demoted, fixture) {
+  claim();
+  BOOST_TEST(lastFence(P).IsPrimary);
+  demoted(9);
+  BOOST_TEST(!lastFence(P).IsPrimary);
+}
+
+// A demoted instance that is not fenced may receive the log of another primary
+// and acknowledge commits with it.
+BOOST_FIXTURE_TEST_CASE(does_not_count_it_before_it_is_fenced, fixture) {
   claim();
   fenced(R1, 5);
-  fenced(P, 9, 0); // demoted
+  demoted(9);
   advanceBy(1200ms);
   fenced(R1, 5);
-  fenced(P, 9, 0);
+  demoted(9);
+  advanceBy(1200ms);
+  BOOST_TEST(sent<promotion_order>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(promotes_it_if_it_is_ahead_and_a_replica_is_missing,
+                        fixture) {
+  claim();
+  fenced(R1, 5);
+  fenced(P, 9);
+  advanceBy(1200ms);
+  fenced(R1, 5);
+  fenced(P, 9);
   BOOST_REQUIRE(sent<promotion_order>().size() == 1U);
   BOOST_TEST(sent<promotion_order>()[0].Instance == P);
 }
 
-// Guards against a lost commit: the old primary and an instance that had just
-// started acknowledged it, while the promotion knew only three members.
-BOOST_FIXTURE_TEST_CASE(is_abandoned_when_another_instance_joins, fixture) {
+// Guards against lost commits: the old primary had acknowledged them with a
+// replica that has ended since, and all present replicas lacked them.
+BOOST_FIXTURE_TEST_CASE(promotes_it_if_it_is_ahead_of_all_replicas, fixture) {
   claim();
   fenced(P, 9);
   fenced(R1, 5);
-  fenced(R2, 5);
-  Promotion.recordListedMember(R2, Now, Actions);
-  BOOST_TEST(!Promotion.isIdle());
-  Promotion.recordListedMember(base::instance_id("r3"), Now, Actions);
-  BOOST_TEST(Promotion.isIdle());
-  BOOST_TEST(sent<promotion_unfence>().size() == 3U);
-  advanceBy(2000ms);
+  fenced(R2, 6);
+  advanceBy(1200ms);
+  fenced(P, 9);
+  fenced(R1, 5);
+  fenced(R2, 6);
+  BOOST_REQUIRE(!sent<promotion_order>().empty());
+  BOOST_TEST(sent<promotion_order>()[0].Instance == P);
+}
+
+BOOST_FIXTURE_TEST_CASE(prefers_a_replica_with_the_same_log, fixture) {
+  claim();
+  fenced(P, 9);
+  fenced(R1, 9);
+  advanceBy(1200ms);
+  fenced(P, 9);
+  fenced(R1, 9);
+  BOOST_REQUIRE(!sent<promotion_order>().empty());
+  BOOST_TEST(sent<promotion_order>()[0].Instance == R1);
+}
+
+// Guards against a leaving primary that is promoted again because its last
+// commits were on their way to replicas that were fenced at the same time.
+BOOST_FIXTURE_TEST_CASE(demotes_it_before_the_replicas_are_fenced, fixture) {
+  Request.IsPrimaryReachable = true;
+  claim();
+  BOOST_REQUIRE(sent<promotion_fence>().size() == 1U);
+  BOOST_TEST(sent<promotion_fence>()[0].IsPrimary);
+  demoted(9);
+  BOOST_TEST(sent<promotion_fence>().size() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(fences_the_replicas_if_it_does_not_answer, fixture) {
+  Request.IsPrimaryReachable = true;
+  claim();
+  advanceBy(60ms);
+  BOOST_TEST(lastFence(R1).Term == 2U);
+  BOOST_TEST(lastFence(R2).Term == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(without_the_old_primary)
+
+// Guards against lost commits: a replica that has left may have been the only
+// one that had received them.
+BOOST_FIXTURE_TEST_CASE(waits_until_a_replica_holds_what_the_primary_showed,
+                        fixture) {
+  Knowledge.NeededPosition = groups::log_position{1, 10};
+  claim();
+  fenced(R1, 5);
+  fenced(R2, 9);
+  advanceBy(1200ms);
+  fenced(R1, 5);
+  fenced(R2, 9);
   BOOST_TEST(sent<promotion_order>().empty());
+
+  Knowledge.NeededPosition = groups::log_position{1, 9};
+  Promotion.setReplicaKnowledge(Knowledge);
+  fenced(R2, 9);
+  BOOST_REQUIRE(sent<promotion_order>().size() == 1U);
+  BOOST_TEST(sent<promotion_order>()[0].Instance == R2);
 }
 
-BOOST_FIXTURE_TEST_CASE(
-    orders_a_promotion_although_the_old_primary_is_ahead_of_all_replicas,
-    fixture) {
+BOOST_FIXTURE_TEST_CASE(waits_while_no_position_of_it_is_known, fixture) {
+  Knowledge.NeededPosition.reset();
   claim();
-  fenced(P, 9, 0);
   fenced(R1, 5);
-  fenced(R2, 6);
+  fenced(R2, 9);
   advanceBy(1200ms);
-  fenced(P, 9, 0);
   fenced(R1, 5);
-  fenced(R2, 6);
+  fenced(R2, 9);
+  BOOST_TEST(sent<promotion_order>().empty());
+}
+
+// Guards against lost commits: an instance that started during an outage of
+// the store is not listed, and may have received them alone.
+BOOST_FIXTURE_TEST_CASE(waits_until_the_list_is_complete, fixture) {
+  Knowledge.IsListComplete = false;
+  claim();
+  fenced(R1, 5);
+  fenced(R2, 9);
+  advanceBy(1200ms);
+  fenced(R1, 5);
+  fenced(R2, 9);
+  BOOST_TEST(sent<promotion_order>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(goes_on_with_it_if_it_answers_after_all, fixture) {
+  Knowledge.IsListComplete = false;
+  claim();
+  fenced(R1, 5);
+  fenced(R2, 9);
+  advanceBy(1200ms);
+  fenced(R1, 5);
+  fenced(R2, 9);
+  demoted(12);
   advanceBy(100ms);
+  fenced(P, 12);
+  advanceBy(100ms);
+  fenced(R1, 5);
+  fenced(R2, 9);
+  fenced(P, 12);
+  BOOST_REQUIRE(!sent<promotion_order>().empty());
+  BOOST_TEST(sent<promotion_order>()[0].Instance == P);
+}
+
+// The primary of the term may be any member, so none may be missing.
+BOOST_FIXTURE_TEST_CASE(fences_all_members_if_it_is_not_known, fixture) {
+  Request.OldPrimary = {};
+  claim();
+  fenced(R1, 5);
+  fenced(R2, 9);
+  advanceBy(1200ms);
+  fenced(R1, 5);
+  fenced(R2, 9);
+  BOOST_TEST(sent<promotion_order>().empty());
+  fenced(P, 7);
+  advanceBy(1200ms);
+  fenced(P, 7);
+  fenced(R1, 5);
+  fenced(R2, 9);
   BOOST_REQUIRE(!sent<promotion_order>().empty());
+  BOOST_TEST(sent<promotion_order>()[0].Instance == R2);
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(while_another_instance_joins)
+
+const base::instance_id R3("r3");
+
+// Guards against a lost commit: the old primary and an instance that had just
+// started acknowledged it, while the promotion knew only three members.
+BOOST_FIXTURE_TEST_CASE(fences_it_too_before_an_order, fixture) {
+  claim();
+  fenced(R1, 5);
+  fenced(R2, 5);
+  advanceBy(500ms);
+  Promotion.recordListedMember({R3, false}, Now, Actions);
+  BOOST_TEST(lastFence(R3).Term == 2U);
+  advanceBy(700ms);
+  fenced(R1, 5);
+  fenced(R2, 5);
+  BOOST_TEST(sent<promotion_order>().empty());
+
+  fenced(R3, 8);
+  base::time_point FencedAt = Now;
+  while (sent<promotion_order>().empty()) {
+    BOOST_REQUIRE((Now < FencedAt + 1500ms));
+    advanceBy(10ms);
+    fenced(R1, 5);
+    fenced(R2, 5);
+    fenced(R3, 8);
+  }
+  // The leases that rest on the new instance have to expire as well.
+  BOOST_TEST(((Now - FencedAt) >= engine_options{}.LeaseDuration));
+  BOOST_TEST(sent<promotion_order>()[0].Instance == R3);
+}
+
+BOOST_FIXTURE_TEST_CASE(needs_no_fence_of_it_if_the_primary_is_fenced,
+                        fixture) {
+  claim();
+  fenced(P, 9);
+  fenced(R1, 9);
+  fenced(R2, 5);
+  advanceBy(500ms);
+  Promotion.recordListedMember({R3, false}, Now, Actions);
+  advanceBy(700ms);
+  fenced(P, 9);
+  fenced(R1, 9);
+  fenced(R2, 5);
+  BOOST_REQUIRE(!sent<promotion_order>().empty());
+  BOOST_TEST(sent<promotion_order>()[0].Instance == R1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_CASE(
     fences_again_an_instance_that_restarted_before_the_leases_expired,
     fixture) {
--- /dev/null
+++ b/packages/sessions/tests/simulated_fleet.cpp
@@ -0,0 +1,234 @@
+#include "support/simulated_fleet.h"
+
+#include "support/fake_fleet.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+namespace radishrelay::sessions::tests {
+
+namespace {
+
+constexpr std::array<const char *, 3> Domains{"a", "b", "c"};
+constexpr std::size_t HostsPerDomain = 2;
+/// Time from the announcement that an instance leaves to its end.
+constexpr base::duration LeavingTime = 7500ms;
+/// Time from that announcement to the start of the instance that replaces it.
+constexpr base::duration SuccessorDelay = 600ms;
+/// Time for hosts to find their roles and the primary before the first fault.
+constexpr base::duration WarmUp = 3000ms;
+/// End of the schedule; longer than the latest fault and its recovery.
+constexpr base::duration ScheduleLength = 30000ms;
+
+std::shared_ptr<const catalog> makeCatalog() {
+  catalog Result;
+  Result.Version = 1;
+  session_route Route;
+  Route.Name = "primary";
+  Route.Group = base::group_id("g");
+  Route.Consistency = read_consistency::Primary;
+  Route.StatementTimeout = 800ms;
+  Route.TargetLatency = 200ms;
+  Result.Routes["primary"] = Route;
+  Result.Groups[base::group_id("g")] = {48, 1};
+  Result.Limits[base::account_id("t1")] = {base::account_id("t1"), 100000,
+                                           100000};
+  Result.Keys["key-1"] = base::account_id("t1");
+  Result.TransactionIdleTimeout = 3000ms;
+  return std::make_shared<const catalog>(Result);
+}
+
+base::duration milliseconds(std::uint64_t Count) {
+  return std::chrono::milliseconds(static_cast<std::int64_t>(Count));
+}
+
+} // namespace
+
+std::string describe(const scheduled_fault &Fault) {
+  static constexpr std::array<const char *, FaultKindCount> Names{
+      "release",         "release primary", "crash primary", "crash instance",
+      "isolate primary", "cut domain",      "store down",    "deaf",
+      "kill host",       "freeze host"};
+  return "at " + std::to_string(Fault.At.count() / 1000) + " ms for " +
+         std::to_string(Fault.For.count() / 1000) +
+         " ms: " + Names.at(static_cast<std::size_t>(Fault.Kind)) + " " +
+         std::to_string(Fault.Target);
+}
+
+std::vector<scheduled_fault> drawFaults(std::uint64_t Seed) {
+  base::random_generator Random(Seed);
+  std::vector<scheduled_fault> Result;
+  std::vector<base::duration> Moments;
+  for (std::uint64_t Count = 1 + Random.below(2); Count > 0; --Count)
+    Moments.push_back(milliseconds(1000 + Random.below(12000)));
+  for (std::uint64_t Count = 3 + Random.below(4); Count > 0; --Count) {
+    scheduled_fault Fault;
+    Fault.Kind = static_cast<fault_kind>(Random.below(FaultKindCount));
+    Fault.Target = Random.below(6);
+    Fault.At = Moments[Random.below(Moments.size())] +
+               milliseconds(Random.below(1500));
+    Fault.For = milliseconds(1000 + Random.below(6000));
+    Result.push_back(Fault);
+    bool IsRelease = Fault.Kind == fault_kind::Release ||
+                     Fault.Kind == fault_kind::ReleasePrimary;
+    if (IsRelease)
+      Moments.push_back(Fault.At + LeavingTime - 500ms);
+  }
+  std::ranges::sort(Result, {}, &scheduled_fault::At);
+  return Result;
+}
+
+simulated_fleet::simulated_fleet(std::uint64_t Seed,
+                                 std::vector<scheduled_fault> Faults)
+    : Random(Seed), Group(Queue, Network, Random),
+      Store(Queue, Network, Group), World{Queue, Network,       Random, Group,
+                                          Store, makeCatalog(), {},     {}},
+      Faults(std::move(Faults)), StartedAt(Queue.now() + WarmUp) {
+  for (const char *Domain : Domains)
+    Group.add(Domain);
+  World.SendDatagram =
+      [this](const std::string &From, const std::string &Address,
+             const std::string &Bytes) { sendDatagram(From, Address, Bytes); };
+  for (std::size_t Index = 0; Index < Domains.size() * HostsPerDomain;
+       ++Index) {
+    std::string Domain = domainAt(Index);
+    std::string Name = "h" + std::to_string(Index + 1);
+    // The fleet is already known, so that roles are assigned at once.
+    Store.put({"members", Name},
+              {{"domain", Domain}, {"address", Name + ":1"}});
+    Hosts.push_back(std::make_unique<simulated_host>(World, Name, Domain));
+  }
+  for (const auto &Host : Hosts)
+    Host->start();
+  for (const scheduled_fault &Fault : this->Faults)
+    Queue.schedule(StartedAt + Fault.At, [this, Fault] { inject(Fault); });
+}
+
+void simulated_fleet::enableTrace() {
+  auto Print = [this](const std::string &Text) {
+    std::cout << base::toMicroseconds(Queue.now()) -
+                     base::toMicroseconds(StartedAt)
+              << " us " << Text << '\n';
+  };
+  World.Trace = Print;
+  Group.Trace = Print;
+}
+
+std::string simulated_fleet::domainAt(std::size_t Index) {
+  return Domains.at(Index % Domains.size());
+}
+
+base::instance_id simulated_fleet::instanceAt(std::size_t Index) const {
+  std::vector<base::instance_id> Running;
+  for (const auto &[Id, Instance] : Group.instances())
+    if (Instance.IsRunning)
+      Running.push_back(Id);
+  return Running.empty() ? base::instance_id()
+                         : Running[Index % Running.size()];
+}
+
+void simulated_fleet::sendDatagram(const std::string &From,
+                                   const std::string &Address,
+                                   const std::string &Bytes) {
+  for (const auto &Host : Hosts) {
+    bool IsTarget = Host->name() + ":1" == Address;
+    constexpr double LossRate = 0.002;
+    if (!IsTarget || Random.chance(LossRate))
+      continue;
+    Queue.scheduleIn(Network.latency(From, Host->name()),
+                     [this, From, Target = Host.get(), Bytes] {
+                       if (Network.reaches(From, Target->name()))
+                         Target->receiveDatagram(Bytes);
+                     });
+  }
+}
+
+void simulated_fleet::release(const base::instance_id &Id) {
+  if (Id.empty() || Group.instances().at(Id).Listing.Draining)
+    return;
+  Group.setDraining(Id);
+  if (Group.Trace)
+    Group.Trace("draining " + Id.str());
+  awaitDrainReport(Id);
+}
+
+void simulated_fleet::awaitDrainReport(const base::instance_id &Id) {
+  // The platform goes on with a release once the store has the report.
+  if (!Store.listsDraining(Id)) {
+    Queue.scheduleIn(20ms, [this, Id] { awaitDrainReport(Id); });
+    return;
+  }
+  std::string Domain = Group.instances().at(Id).Listing.Domain.str();
+  Queue.scheduleIn(SuccessorDelay, [this, Domain] {
+    base::instance_id Next = Group.add(Domain);
+    if (Group.Trace)
+      Group.Trace("started " + Next.str() + " in domain " + Domain);
+  });
+  Queue.scheduleIn(LeavingTime + milliseconds(Random.below(1500)),
+                   [this, Id] { Group.end(Id); });
+}
+
+void simulated_fleet::inject(const scheduled_fault &Fault) {
+  base::instance_id Leader = Group.leader();
+  base::instance_id Chosen = instanceAt(Fault.Target);
+  std::string Domain = domainAt(Fault.Target);
+  simulated_host &Host = *Hosts[Fault.Target % Hosts.size()];
+  if (Group.Trace)
+    Group.Trace("fault " + describe(Fault));
+  auto Later = [&](event_queue::event Event) {
+    Queue.scheduleIn(Fault.For, std::move(Event));
+  };
+  switch (Fault.Kind) {
+  case fault_kind::Release:
+    release(Chosen);
+    return;
+  case fault_kind::ReleasePrimary:
+    release(Leader);
+    return;
+  case fault_kind::CrashPrimary:
+  case fault_kind::CrashInstance: {
+    base::instance_id Id =
+        Fault.Kind == fault_kind::CrashPrimary ? Leader : Chosen;
+    if (Id.empty() || !Group.instances().at(Id).IsRunning)
+      return;
+    Group.crash(Id);
+    Later([this, Id] { Group.restart(Id); });
+    return;
+  }
+  case fault_kind::IsolatePrimary:
+    Network.setIsolated(Leader.str(), true);
+    Later([this, Leader] { Network.setIsolated(Leader.str(), false); });
+    return;
+  case fault_kind::CutDomain:
+    Network.setCut(Domain, true);
+    Later([this, Domain] { Network.setCut(Domain, false); });
+    return;
+  case fault_kind::StoreDown:
+    Store.setDown(true);
+    Later([this] { Store.setDown(false); });
+    return;
+  case fault_kind::Deaf:
+    for (const auto &[Id, Instance] : Group.instances())
+      if (Instance.Listing.Domain.str() == Domain)
+        Group.instance(Id).DeafUntil = Queue.now() + Fault.For;
+    return;
+  case fault_kind::KillHost:
+    if (!Host.isRunning())
+      return;
+    Host.kill();
+    Later([&Host] { Host.start(); });
+    return;
+  case fault_kind::FreezeHost:
+    Host.freeze(Queue.now() + Fault.For);
+    return;
+  }
+}
+
+void simulated_fleet::run() {
+  base::time_point End = StartedAt + ScheduleLength;
+  while (Group.broken().empty() && Queue.runNext(End)) {
+  }
+}
+
+} // namespace radishrelay::sessions::tests
--- /dev/null
+++ b/packages/sessions/tests/simulated_host.cpp
@@ -0,0 +1,402 @@
+#include "support/simulated_host.h"
+
+#include "support/fake_fleet.h"
+
+namespace radishrelay::sessions::tests {
+
+namespace {
+
+constexpr std::size_t ClientsPerHost = 2;
+constexpr base::duration ClientPause = 15ms;
+constexpr base::duration ClientTimeout = 2000ms;
+constexpr base::duration PollInterval = 30ms;
+constexpr base::duration StoreTime = 4ms;
+/// Time after which a call that got no answer from the store has failed.
+constexpr base::duration StoreCallTimeout = 1000ms;
+constexpr base::duration HandshakeTime = 12ms;
+
+} // namespace
+
+simulated_host::simulated_host(simulated_world &World, const std::string &Name,
+                               const std::string &Domain)
+    : World(World), Name(Name), Domain(Domain), Clients(ClientsPerHost) {
+  World.Network.place(Name, Domain);
+}
+
+void simulated_host::start() {
+  if (Engine)
+    return;
+  engine_options Options;
+  Options.Host = base::host_id(Name);
+  Options.Domain = base::failure_domain_id(Domain);
+  Options.Incarnation = std::to_string(++Run);
+  Options.PeerAddress = Name + ":1";
+  Options.RandomSeed = World.Random();
+  Engine =
+      std::make_unique<session_engine>(Options, *this, *this, *this, *this);
+  Engine->setCatalog(World.Configuration, World.Queue.now());
+  for (std::size_t Index = 0; Index < Clients.size(); ++Index)
+    connectClient(Index);
+  settle();
+}
+
+void simulated_host::kill() {
+  WakeAt = base::time_point::max();
+  for (const auto &[Number, Connection] : Open)
+    World.Group.endConnection(connectionName(Number));
+  ++Run;
+  Engine.reset();
+  Open.clear();
+  SeenListing = 0;
+}
+
+void simulated_host::deliverIn(base::duration Delay,
+                               std::function<void()> Event) {
+  World.Queue.scheduleIn(Delay, [this, AtRun = Run, Event = std::move(Event)] {
+    if (Run != AtRun || !Engine)
+      return;
+    if (World.Queue.now() < FrozenUntil) {
+      deliverIn(FrozenUntil - World.Queue.now(), Event);
+      return;
+    }
+    Event();
+    settle();
+  });
+}
+
+void simulated_host::settle() {
+  if (!Engine)
+    return;
+  Engine->advance(World.Queue.now());
+  scheduleWake();
+}
+
+void simulated_host::scheduleWake() {
+  base::time_point Next =
+      std::max(Engine->nextWake(World.Queue.now()), World.Queue.now() + 1ms);
+  if (Next >= WakeAt)
+    return;
+  WakeAt = Next;
+  deliverIn(Next - World.Queue.now(), [this, Next] {
+    if (WakeAt == Next)
+      WakeAt = base::time_point::max();
+  });
+}
+
+base::duration simulated_host::latencyTo(const std::string &Node) {
+  return World.Network.latency(Name, Node) +
+         std::chrono::microseconds(World.Random.below(400));
+}
+
+std::string simulated_host::connectionName(backend_number Connection) const {
+  return Name + "/" + std::to_string(Run) + "/" +
+         std::to_string(static_cast<std::uint64_t>(Connection));
+}
+
+// Connections to instances.
+
+void simulated_host::open(backend_number Number,
+                          const instance_listing &Listing,
+                          const base::account_id &) {
+  open_connection &Connection = Open[Number];
+  Connection.Instance = Listing.Instance;
+  std::string Target = Listing.Instance.str();
+  base::duration Latency = latencyTo(Target);
+  World.Queue.scheduleIn(Latency, [this, AtRun = Run, Number, Target, Latency] {
+    auto Entry = Open.find(Number);
+    if (Run != AtRun || Entry == Open.end() ||
+        !World.Network.reaches(Name, Target))
+      return;
+    const simulated_instance &Instance =
+        World.Group.instances().at(Entry->second.Instance);
+    if (!Instance.IsRunning) {
+      deliverIn(Latency, [this, Number] { loseConnection(Number); });
+      return;
+    }
+    Entry->second.Run = Instance.Run;
+    deliverIn(Latency + HandshakeTime, [this, Number, Target] {
+      if (Open.contains(Number) && World.Network.reaches(Name, Target))
+        Engine->backendOpened(Number, World.Queue.now());
+    });
+  });
+}
+
+void simulated_host::send(backend_number Number,
+                          const backend_request &Request) {
+  auto Entry = Open.find(Number);
+  if (Entry == Open.end() || Entry->second.IsSilent)
+    return;
+  open_connection &Connection = Entry->second;
+  std::string Target = Connection.Instance.str();
+  if (!World.Network.reaches(Name, Target)) {
+    Connection.IsSilent = true;
+    return;
+  }
+  base::time_point At =
+      std::max(World.Queue.now() + latencyTo(Target), Connection.LastDelivery);
+  Connection.LastDelivery = At;
+  World.Queue.schedule(At, [this, AtRun = Run, Number, Target, Request] {
+    auto Current = Open.find(Number);
+    // The instance still runs what a host sent before it was killed.
+    bool IsHostsRun = Run == AtRun;
+    if (IsHostsRun && Current == Open.end())
+      return;
+    const simulated_instance &Instance =
+        World.Group.instances().at(base::instance_id(Target));
+    if (!IsHostsRun || !Instance.IsRunning ||
+        Instance.Run != Current->second.Run) {
+      if (IsHostsRun && World.Network.reaches(Name, Target))
+        deliverIn(latencyTo(Target),
+                  [this, Number] { loseConnection(Number); });
+      return;
+    }
+    World.Group.execute(base::instance_id(Target), connectionName(Number),
+                        Request,
+                        [this, AtRun, Number](const backend_reply &Reply) {
+                          return Run == AtRun && receiveReply(Number, Reply);
+                        });
+  });
+}
+
+bool simulated_host::receiveReply(backend_number Number,
+                                  const backend_reply &Reply) {
+  auto Entry = Open.find(Number);
+  if (Entry == Open.end() || Entry->second.IsSilent)
+    return false;
+  std::string Target = Entry->second.Instance.str();
+  if (!World.Network.reaches(Target, Name)) {
+    Entry->second.IsSilent = true;
+    return false;
+  }
+  deliverIn(latencyTo(Target), [this, Number, Reply] {
+    if (Open.contains(Number))
+      Engine->backendReplied(Number, Reply, World.Queue.now());
+  });
+  return true;
+}
+
+void simulated_host::loseConnection(backend_number Number) {
+  if (Open.erase(Number) == 0)
+    return;
+  World.Group.endConnection(connectionName(Number));
+  Engine->backendLost(Number, std::nullopt, World.Queue.now());
+}
+
+void simulated_host::close(backend_number Number) {
+  Open.erase(Number);
+  World.Group.endConnection(connectionName(Number));
+}
+
+// Calls to the platform.
+
+void simulated_host::execute(store_call_number Call,
+                             const base::store_request &Request) {
+  base::time_point SentAt = World.Queue.now();
+  World.Queue.scheduleIn(StoreTime, [this, AtRun = Run, Call, Request, SentAt] {
+    if (Run != AtRun)
+      return;
+    base::store_answer Answer;
+    base::duration Delay = StoreTime;
+    bool Reaches = World.Network.reaches(Name, simulated_store::Node);
+    if (World.Store.isDown() || !Reaches) {
+      Answer.Outcome =
+          Reaches ? base::store_outcome::NotDone : base::store_outcome::Unknown;
+      Delay = Reaches ? StoreTime : StoreCallTimeout;
+    } else {
+      Answer = World.Store.execute(Request);
+    }
+    Answer.SentAt = SentAt;
+    deliverIn(Delay, [this, Call, Answer] {
+      Engine->storeAnswered(Call, Answer, World.Queue.now());
+    });
+  });
+}
+
+void simulated_host::promote(store_call_number Call, const base::group_id &,
+                             const base::instance_id &Instance, std::uint64_t) {
+  World.Queue.scheduleIn(StoreTime, [this, AtRun = Run, Call, Instance] {
+    bool Reaches = World.Network.reaches(Name, simulated_store::Node);
+    bool IsAccepted = Reaches && World.Group.promote(Instance);
+    if (Run == AtRun)
+      deliverIn(
+          Reaches ? StoreTime : StoreCallTimeout, [this, Call, IsAccepted] {
+            Engine->promotionAnswered(Call, IsAccepted, World.Queue.now());
+          });
+  });
+}
+
+void simulated_host::readCatalog(base::duration Wait) {
+  read_times Times{World.Queue.now(), Wait};
+  deliverIn(Wait + 2 * StoreTime, [this, Times] {
+    bool Reaches = World.Network.reaches(Name, simulated_store::Node) &&
+                   !World.Store.isDown();
+    if (Reaches)
+      Engine->catalogRead(catalog_ptr{}, Times, World.Queue.now());
+    else
+      Engine->catalogRead(
+          base::failure{std::make_error_code(std::errc::timed_out),
+                        "read configuration", "store", ""},
+          Times, World.Queue.now());
+  });
+}
+
+void simulated_host::readInstances(base::duration Wait) {
+  pollInstances(World.Queue.now(), Wait);
+}
+
+void simulated_host::pollInstances(base::time_point SentAt,
+                                   base::duration Wait) {
+  World.Queue.scheduleIn(StoreTime, [this, AtRun = Run, SentAt, Wait] {
+    if (Run != AtRun)
+      return;
+    bool Reaches = World.Network.reaches(Name, simulated_store::Node);
+    read_times Times{SentAt, Wait};
+    if (!Reaches || World.Store.isDown()) {
+      deliverIn(Reaches ? StoreTime : StoreCallTimeout, [this, Times] {
+        Engine->instancesRead(
+            base::failure{std::make_error_code(std::errc::timed_out),
+                          "read list", "store", ""},
+            Times, World.Queue.now());
+      });
+      return;
+    }
+    bool IsChanged = World.Store.listingVersion() != SeenListing;
+    if (!IsChanged && World.Queue.now() < SentAt + Wait) {
+      World.Queue.scheduleIn(PollInterval, [this, AtRun, SentAt, Wait] {
+        if (Run == AtRun)
+          pollInstances(SentAt, Wait);
+      });
+      return;
+    }
+    instance_reading Reading = World.Store.listing();
+    SeenListing = Reading.ChangedVersion;
+    deliverIn(StoreTime, [this, Reading, Times] {
+      Engine->instancesRead(Reading, Times, World.Queue.now());
+    });
+  });
+}
+
+void simulated_host::sendDatagram(const std::string &Address,
+                                  const std::string &Bytes) {
+  World.SendDatagram(Name, Address, Bytes);
+}
+
+void simulated_host::receiveDatagram(const std::string &Bytes) {
+  deliverIn({}, [this, Bytes] {
+    Engine->datagramReceived(Bytes, World.Queue.now());
+  });
+}
+
+void simulated_host::stateChange(std::string_view Event,
+                                 const base::json &Fields) {
+  if (World.Trace)
+    World.Trace(Name + " " + std::string(Event) + " " + Fields.dump());
+}
+
+// Clients.
+
+void simulated_host::connectClient(std::size_t Index) {
+  client &Client = Clients[Index];
+  Client.Session = session_number{++LastSession};
+  Client.Step = client_step::Idle;
+  Engine->clientMessage(Client.Session, start_session{"primary", "key-1"},
+                        World.Queue.now());
+  deliverIn(ClientPause, [this, Index] { runClient(Index); });
+}
+
+void simulated_host::runClient(std::size_t Index) {
+  if (Clients[Index].Step != client_step::Idle)
+    return;
+  std::uint64_t Choice = World.Random.below(10);
+  std::string Time = std::to_string(base::toMicroseconds(World.Queue.now()));
+  if (Choice < 4) {
+    sendStatement(Index, client_step::Reading, "read x " + Time);
+  } else if (Choice < 8) {
+    Clients[Index].Write = ++World.LastWrite;
+    sendStatement(Index, client_step::Writing,
+                  "write x " + std::to_string(Clients[Index].Write));
+  } else {
+    Clients[Index].Write = ++World.LastWrite;
+    sendStatement(Index, client_step::Beginning, "begin");
+  }
+}
+
+void simulated_host::sendStatement(std::size_t Index, client_step Step,
+                                   const std::string &Text) {
+  client &Client = Clients[Index];
+  Client.Step = Step;
+  std::uint64_t Attempt = ++Client.Attempt;
+  Engine->clientMessage(Client.Session, run_statement{Text, parse(Text)},
+                        World.Queue.now());
+  deliverIn(ClientTimeout, [this, Index, Attempt] {
+    client &Late = Clients[Index];
+    if (Late.Attempt != Attempt || Late.Step == client_step::Idle)
+      return;
+    Engine->clientDisconnected(Late.Session, World.Queue.now());
+    connectClient(Index);
+  });
+}
+
+simulated_host::client *simulated_host::clientOf(session_number Session,
+                                                 std::size_t &Index) {
+  for (Index = 0; Index < Clients.size(); ++Index)
+    if (Clients[Index].Session == Session)
+      return &Clients[Index];
+  return nullptr;
+}
+
+void simulated_host::answer(session_number Session,
+                            const client_answer &Answer) {
+  deliverIn({}, [this, Session, Answer] {
+    std::size_t Index = 0;
+    if (clientOf(Session, Index))
+      clientAnswered(Index, Answer);
+  });
+}
+
+void simulated_host::clientAnswered(std::size_t Index,
+                                    const client_answer &Answer) {
+  client &Client = Clients[Index];
+  std::string Write = std::to_string(Client.Write);
+  bool IsWrite = Client.Step == client_step::Writing ||
+                 Client.Step == client_step::Committing;
+  if (Answer.Error) {
+    if (guaranteesNoEffect(*Answer.Error) &&
+        Client.Step != client_step::Reading)
+      World.Group.recordRefused(Client.Write);
+    ++World.WritesFailed;
+    if (Client.Step != client_step::Reading &&
+        Client.Step != client_step::Writing) {
+      // Ends the failed transaction as a client would.
+      Engine->clientDisconnected(Client.Session, World.Queue.now());
+      connectClient(Index);
+      return;
+    }
+  } else if (Client.Step == client_step::Beginning) {
+    sendStatement(Index, client_step::InWrite, "write x " + Write);
+    return;
+  } else if (Client.Step == client_step::InWrite) {
+    sendStatement(Index, client_step::Committing, "commit");
+    return;
+  } else if (IsWrite) {
+    ++World.WritesDone;
+    World.Group.recordSucceeded(Client.Write);
+  }
+  Client.Step = client_step::Idle;
+  deliverIn(ClientPause, [this, Index] { runClient(Index); });
+}
+
+void simulated_host::reject(session_number Session, refusal,
+                            const std::string &) {
+  close(Session);
+}
+
+void simulated_host::close(session_number Session) {
+  deliverIn(100ms, [this, Session] {
+    std::size_t Index = 0;
+    if (clientOf(Session, Index))
+      connectClient(Index);
+  });
+}
+
+} // namespace radishrelay::sessions::tests
--- /dev/null
+++ b/packages/sessions/tests/simulated_store.cpp
@@ -0,0 +1,100 @@
+#include "support/simulated_store.h"
+
+namespace radishrelay::sessions::tests {
+
+namespace {
+
+constexpr base::duration TickInterval = std::chrono::milliseconds(20);
+constexpr base::duration ReportInterval = std::chrono::milliseconds(1200);
+constexpr base::duration EntryLifetime = 3 * ReportInterval;
+
+} // namespace
+
+simulated_store::simulated_store(event_queue &Queue, simulated_network &Network,
+                                 simulated_group &Group)
+    : Queue(Queue), Network(Network), Group(Group) {
+  Network.place(Node, simulated_network::PlatformDomain);
+  tick();
+}
+
+void simulated_store::tick() {
+  Queue.scheduleIn(TickInterval, [this] { tick(); });
+  for (const auto &[Id, Instance] : Group.instances()) {
+    bool Reaches =
+        Instance.IsRunning && !IsDown && Network.reaches(Id.str(), Node);
+    if (!Reaches)
+      continue;
+    instance_listing Listing = Instance.Listing;
+    Listing.Role = Instance.Role;
+    auto Known = Entries.find(Id);
+    bool IsChanged =
+        Known == Entries.end() || !(Known->second.Listing == Listing);
+    bool IsDue =
+        IsChanged || Queue.now() >= Known->second.ReportedAt + ReportInterval;
+    if (!IsDue)
+      continue;
+    Entries[Id] = {Listing, Queue.now()};
+    if (IsChanged)
+      ListingVersion = ++Version;
+  }
+  auto Expired = std::erase_if(Entries, [&](const auto &Entry) {
+    const simulated_instance &Instance = Group.instances().at(Entry.first);
+    // An instance that ends as planned removes its entry.
+    bool HasLeft = Instance.Log.empty() && !Instance.IsRunning &&
+                   Instance.Listing.Draining && !IsDown &&
+                   Network.reaches(Entry.first.str(), Node);
+    return HasLeft || Queue.now() >= Entry.second.ReportedAt + EntryLifetime;
+  });
+  if (Expired > 0)
+    ListingVersion = ++Version;
+}
+
+instance_reading simulated_store::listing() const {
+  instance_reading Reading;
+  for (const auto &[Id, Entry] : Entries)
+    Reading.List.push_back(Entry.Listing);
+  Reading.Version = Version;
+  Reading.ChangedVersion = ListingVersion;
+  return Reading;
+}
+
+void simulated_store::put(const base::row_key &Key, const base::json &Value) {
+  Rows[Key] = {Key, ++Version, Value};
+}
+
+base::store_answer
+simulated_store::execute(const base::store_request &Request) {
+  base::store_answer Answer;
+  Answer.Outcome = base::store_outcome::Done;
+  if (const auto *Read = std::get_if<base::read_row>(&Request)) {
+    auto Row = Rows.find(Read->Key);
+    if (Row != Rows.end())
+      Answer.Rows.push_back(Row->second);
+    return Answer;
+  }
+  if (const auto *Table = std::get_if<base::read_table>(&Request)) {
+    for (const auto &[Key, Row] : Rows)
+      if (Key.Table == Table->Table)
+        Answer.Rows.push_back(Row);
+    return Answer;
+  }
+  const auto &Transaction = std::get<base::store_transaction>(Request);
+  for (const base::row_condition &Condition : Transaction.Conditions) {
+    auto Row = Rows.find(Condition.Key);
+    base::row_version Present = Row == Rows.end() ? 0 : Row->second.Version;
+    if (Present != Condition.Version) {
+      Answer.Outcome = base::store_outcome::Conflict;
+      return Answer;
+    }
+  }
+  Answer.Version = ++Version;
+  for (const base::row_write &Write : Transaction.Writes) {
+    if (Write.Value.is_null())
+      Rows.erase(Write.Key);
+    else
+      Rows[Write.Key] = {Write.Key, Version, Write.Value};
+  }
+  return Answer;
+}
+
+} // namespace radishrelay::sessions::tests
--- /dev/null
+++ b/packages/sessions/tests/support/simulated_fleet.h
@@ -0,0 +1,86 @@
+#ifndef RADISHRELAY_SESSIONS_TESTS_SUPPORT_SIMULATED_FLEET_H
+#define RADISHRELAY_SESSIONS_TESTS_SUPPORT_SIMULATED_FLEET_H
+
+#include "simulated_host.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace radishrelay::sessions::tests {
+
+enum class fault_kind {
+  /// The instance announces that it leaves, ends some seconds later and is
+  /// replaced by a new one in the same failure domain.
+  Release,
+  ReleasePrimary,
+  CrashPrimary,
+  CrashInstance,
+  /// Cuts the primary off from the other instances, the store and the hosts of
+  /// other failure domains.
+  IsolatePrimary,
+  CutDomain,
+  StoreDown,
+  /// The replicas of one failure domain receive no log entries.
+  Deaf,
+  KillHost,
+  FreezeHost,
+};
+constexpr std::size_t FaultKindCount = 10;
+
+/// A fault of a schedule.
+struct scheduled_fault {
+  fault_kind Kind = fault_kind::Release;
+  /// Time since the start of the schedule.
+  base::duration At{};
+  base::duration For{};
+  /// Chooses the instance, failure domain or host.
+  std::size_t Target = 0;
+
+  friend bool operator==(const scheduled_fault &,
+                         const scheduled_fault &) = default;
+};
+
+std::string describe(const scheduled_fault &Fault);
+
+/// Draws a schedule whose faults come in series around a few moments, and at
+/// the ends of releases that began before.
+std::vector<scheduled_fault> drawFaults(std::uint64_t Seed);
+
+/// Several session engines before one database group, driven in virtual time
+/// through a schedule of faults.
+class simulated_fleet {
+public:
+  simulated_fleet(std::uint64_t Seed, std::vector<scheduled_fault> Faults);
+
+  /// Runs the schedule to its end or to the first broken promise.
+  void run();
+  [[nodiscard]] const simulated_group &group() const { return Group; }
+  [[nodiscard]] std::uint64_t steps() const { return Queue.steps(); }
+  [[nodiscard]] std::uint64_t writesDone() const { return World.WritesDone; }
+  /// Prints all state changes with their times to standard output.
+  void enableTrace();
+
+private:
+  void inject(const scheduled_fault &Fault);
+  void release(const base::instance_id &Id);
+  void awaitDrainReport(const base::instance_id &Id);
+  [[nodiscard]] base::instance_id instanceAt(std::size_t Index) const;
+  [[nodiscard]] static std::string domainAt(std::size_t Index);
+  void sendDatagram(const std::string &From, const std::string &Address,
+                    const std::string &Bytes);
+
+  event_queue Queue;
+  simulated_network Network;
+  base::random_generator Random;
+  simulated_group Group;
+  simulated_store Store;
+  simulated_world World;
+  std::vector<std::unique_ptr<simulated_host>> Hosts;
+  std::vector<scheduled_fault> Faults;
+  base::time_point StartedAt;
+};
+
+} // namespace radishrelay::sessions::tests
+
+#endif
--- /dev/null
+++ b/packages/sessions/tests/support/simulated_group.h
@@ -0,0 +1,174 @@
+#ifndef RADISHRELAY_SESSIONS_TESTS_SUPPORT_SIMULATED_GROUP_H
+#define RADISHRELAY_SESSIONS_TESTS_SUPPORT_SIMULATED_GROUP_H
+
+#include "event_queue.h"
+#include "simulated_network.h"
+
+#include "radishrelay/base/random_generator.h"
+#include "radishrelay/sessions/backend_reply.h"
+#include "radishrelay/sessions/backend_request.h"
+#include "radishrelay/sessions/instance_listing.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace radishrelay::sessions::tests {
+
+/// A committed write in the log of an instance.
+struct simulated_commit {
+  groups::term_number Term = 0;
+  std::uint64_t Write = 0;
+
+  friend bool operator==(const simulated_commit &,
+                         const simulated_commit &) = default;
+};
+
+/// State of one simulated instance.
+struct simulated_instance {
+  instance_listing Listing;
+  groups::instance_role Role = groups::instance_role::Replica;
+  groups::term_number Term = 1;
+  groups::term_number FencedTerm = 0;
+  std::vector<simulated_commit> Log;
+  bool IsRunning = true;
+  /// Number of starts; connections and deliveries of an earlier run are void.
+  std::uint64_t Run = 1;
+  /// Until then the instance receives no log entries.
+  base::time_point DeafUntil;
+  /// Since when an old primary has reached the new one.
+  std::optional<base::time_point> SuccessorReachedAt;
+};
+
+/// A promise that was broken in a simulation.
+struct broken_promise {
+  base::time_point At;
+  std::string Text;
+};
+
+/// Database group that follows the rules of the users' platform: a commit is
+/// acknowledged once any replica has received it, a promoted instance leads
+/// with what it had received and nothing more, and a replica that leaves takes
+/// its log along. Checks the promises that instances can see.
+class simulated_group {
+public:
+  /// Returns whether the connection on which the instance replies is open.
+  using reply_function = std::function<bool(const backend_reply &)>;
+
+  simulated_group(event_queue &Queue, simulated_network &Network,
+                  base::random_generator &Random);
+
+  /// Starts an instance with an empty log in \p Domain.
+  base::instance_id add(const std::string &Domain);
+  [[nodiscard]] const std::map<base::instance_id, simulated_instance> &
+  instances() const {
+    return Instances;
+  }
+  simulated_instance &instance(const base::instance_id &Id) {
+    return Instances.at(Id);
+  }
+  /// The instance that the platform has promoted last.
+  [[nodiscard]] const base::instance_id &leader() const { return Leader; }
+
+  /// Executes a request that has reached \p Id on connection \p Connection of a
+  /// host. \p Reply is called once the instance answers, which may be never.
+  void execute(const base::instance_id &Id, const std::string &Connection,
+               const backend_request &Request, reply_function Reply);
+  void endConnection(const std::string &Connection) {
+    Transactions.erase(Connection);
+  }
+  /// Orders a promotion. Returns false if the instance is not running.
+  bool promote(const base::instance_id &Id);
+
+  void crash(const base::instance_id &Id);
+  /// Starts a crashed instance with the log that it had.
+  void restart(const base::instance_id &Id);
+  /// Ends an instance for good. Its log is gone.
+  void end(const base::instance_id &Id);
+  void setDraining(const base::instance_id &Id) {
+    Instances.at(Id).Listing.Draining = true;
+  }
+
+  /// Records that a client was told that \p Write had no effect.
+  void recordRefused(std::uint64_t Write);
+  /// Records that a client was told that \p Write was committed.
+  void recordSucceeded(std::uint64_t Write);
+  [[nodiscard]] const std::vector<broken_promise> &broken() const {
+    return Broken;
+  }
+  [[nodiscard]] std::uint64_t acknowledgedCommits() const {
+    return Acknowledged.size();
+  }
+  [[nodiscard]] std::uint64_t promotions() const { return Promotions; }
+  /// Reports each promotion and crash; for the trace of a failed schedule.
+  std::function<void(const std::string &)> Trace;
+
+private:
+  struct waiting_commit {
+    std::size_t LogSize = 0;
+    std::uint64_t Run = 0;
+    groups::term_number Term = 0;
+    base::instance_id Primary;
+    backend_reply Reply;
+    reply_function Answer;
+  };
+  struct acknowledged_commit {
+    base::time_point At;
+    std::size_t LogSize = 0;
+    std::uint64_t Write = 0;
+  };
+
+  [[nodiscard]] bool receives(const simulated_instance &Primary,
+                              const simulated_instance &Replica) const;
+  [[nodiscard]] bool holds(const simulated_instance &Instance,
+                           const acknowledged_commit &Commit) const;
+  void commit(simulated_instance &Primary, std::uint64_t Write,
+              backend_reply Reply, reply_function Answer);
+  void replicate(const simulated_instance &Primary);
+  void deliver(const base::instance_id &From, std::uint64_t FromRun,
+               const base::instance_id &To, std::uint64_t ToRun,
+               std::size_t LogSize);
+  void acknowledge(const base::instance_id &Primary, std::uint64_t Run,
+                   groups::term_number Term, std::size_t LogSize);
+  void recordAcknowledged(acknowledged_commit Commit);
+  void takeEffect(const base::instance_id &Id);
+  void checkRead(const simulated_instance &Instance, base::time_point Since);
+  void tick();
+  void recordBroken(const std::string &Text) {
+    Broken.push_back({Queue.now(), Text});
+  }
+  [[nodiscard]] backend_reply statusReply(const simulated_instance &Instance,
+                                          session_phase Phase) const;
+  void runStatement(simulated_instance &Instance, const std::string &Connection,
+                    const backend_request &Request, reply_function Reply);
+
+  event_queue &Queue;
+  simulated_network &Network;
+  base::random_generator &Random;
+  std::map<base::instance_id, simulated_instance> Instances;
+  base::instance_id Leader;
+  groups::term_number LeaderTerm = 1;
+  std::uint64_t LastInstance = 0;
+  std::uint64_t Promotions = 0;
+  /// Open transactions by connection, with the write that each has made.
+  std::map<std::string, std::uint64_t> Transactions;
+  std::vector<waiting_commit> Waiting;
+  /// In the order of their acknowledgement.
+  std::vector<acknowledged_commit> Acknowledged;
+  /// For each entry of Acknowledged, the commit up to it with the longest log.
+  std::vector<std::size_t> Longest;
+  std::set<std::uint64_t> Refused;
+  std::set<std::uint64_t> Committed;
+  /// Writes acknowledged by a primary after it was replaced.
+  std::set<std::uint64_t> AcknowledgedLate;
+  std::vector<broken_promise> Broken;
+};
+
+/// Position of the end of an instance's log.
+groups::log_position endOfLog(const simulated_instance &Instance);
+
+} // namespace radishrelay::sessions::tests
+
+#endif
--- /dev/null
+++ b/packages/sessions/tests/support/simulated_host.h
@@ -0,0 +1,136 @@
+#ifndef RADISHRELAY_SESSIONS_TESTS_SUPPORT_SIMULATED_HOST_H
+#define RADISHRELAY_SESSIONS_TESTS_SUPPORT_SIMULATED_HOST_H
+
+#include "event_queue.h"
+#include "simulated_group.h"
+#include "simulated_store.h"
+
+#include "radishrelay/sessions/session_engine.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace radishrelay::sessions::tests {
+
+/// What the hosts of a simulated fleet share.
+struct simulated_world {
+  event_queue &Queue;
+  simulated_network &Network;
+  base::random_generator &Random;
+  simulated_group &Group;
+  simulated_store &Store;
+  catalog_ptr Configuration;
+  /// Passes a datagram to the host at an address.
+  std::function<void(const std::string &From, const std::string &Address,
+                     const std::string &Bytes)>
+      SendDatagram;
+  /// Receives the state changes that hosts log.
+  std::function<void(const std::string &)> Trace;
+  /// Numbers of the writes of all clients.
+  std::uint64_t LastWrite = 0;
+  std::uint64_t WritesDone = 0;
+  std::uint64_t WritesFailed = 0;
+};
+
+/// One host of a simulated fleet: a session engine with its clients, driven by
+/// events in virtual time. Each client repeats a write, a read or a transaction
+/// on a primary route.
+class simulated_host : public client_port,
+                       public backend_port,
+                       public coordination_port,
+                       public event_log {
+public:
+  simulated_host(simulated_world &World, const std::string &Name,
+                 const std::string &Domain);
+
+  [[nodiscard]] const std::string &name() const { return Name; }
+  void start();
+  /// Ends the process; its clients return after the next start.
+  void kill();
+  [[nodiscard]] bool isRunning() const { return Engine != nullptr; }
+  /// Suspends the process: events wait until \p Until.
+  void freeze(base::time_point Until) { FrozenUntil = Until; }
+  void receiveDatagram(const std::string &Bytes);
+
+private:
+  enum class client_step {
+    Idle,
+    Reading,
+    Writing,
+    Beginning,
+    InWrite,
+    Committing
+  };
+  struct client {
+    session_number Session{};
+    client_step Step = client_step::Idle;
+    std::uint64_t Write = 0;
+    std::uint64_t Attempt = 0;
+  };
+  struct open_connection {
+    base::instance_id Instance;
+    std::uint64_t Run = 0;
+    /// Time of the last delivery to the instance, which keeps their order.
+    base::time_point LastDelivery;
+    /// A message was lost, so nothing more arrives on this connection.
+    bool IsSilent = false;
+  };
+
+  void accept(session_number) override {}
+  void reject(session_number Session, refusal, const std::string &) override;
+  void answer(session_number Session, const client_answer &Answer) override;
+  void close(session_number Session) override;
+  void open(backend_number Connection, const instance_listing &Instance,
+            const base::account_id &Account) override;
+  void send(backend_number Connection, const backend_request &Request) override;
+  void close(backend_number Connection) override;
+  void execute(store_call_number Call,
+               const base::store_request &Request) override;
+  void promote(store_call_number Call, const base::group_id &Group,
+               const base::instance_id &Instance,
+               std::uint64_t Generation) override;
+  void readCatalog(base::duration Wait) override;
+  void readInstances(base::duration Wait) override;
+  void sendDatagram(const std::string &Address,
+                    const std::string &Bytes) override;
+  void stateChange(std::string_view Event, const base::json &Fields) override;
+  void decision(std::string_view, const base::json &) override {}
+  bool wantsDecision(bool) override { return false; }
+
+  /// Runs \p Event in this run of the process, after a freeze at its end.
+  void deliverIn(base::duration Delay, std::function<void()> Event);
+  void settle();
+  void scheduleWake();
+  void pollInstances(base::time_point SentAt, base::duration Wait);
+  /// Returns false if the connection has been closed or is silent.
+  bool receiveReply(backend_number Connection, const backend_reply &Reply);
+  void loseConnection(backend_number Connection);
+  [[nodiscard]] std::string connectionName(backend_number Connection) const;
+  [[nodiscard]] base::duration latencyTo(const std::string &Node);
+
+  void connectClient(std::size_t Index);
+  void runClient(std::size_t Index);
+  void clientAnswered(std::size_t Index, const client_answer &Answer);
+  void sendStatement(std::size_t Index, client_step Step,
+                     const std::string &Text);
+  client *clientOf(session_number Session, std::size_t &Index);
+
+  simulated_world &World;
+  std::string Name;
+  std::string Domain;
+  std::unique_ptr<session_engine> Engine;
+  std::uint64_t Run = 0;
+  base::time_point FrozenUntil;
+  base::time_point WakeAt = base::time_point::max();
+  std::uint64_t LastSession = 0;
+  std::uint64_t SeenListing = 0;
+  std::map<backend_number, open_connection> Open;
+  std::vector<client> Clients;
+};
+
+} // namespace radishrelay::sessions::tests
+
+#endif
--- /dev/null
+++ b/packages/sessions/tests/support/simulated_store.h
@@ -0,0 +1,62 @@
+#ifndef RADISHRELAY_SESSIONS_TESTS_SUPPORT_SIMULATED_STORE_H
+#define RADISHRELAY_SESSIONS_TESTS_SUPPORT_SIMULATED_STORE_H
+
+#include "event_queue.h"
+#include "simulated_group.h"
+
+#include "radishrelay/base/store_answer.h"
+#include "radishrelay/base/store_request.h"
+#include "radishrelay/sessions/fleet_services.h"
+
+#include <map>
+#include <optional>
+
+namespace radishrelay::sessions::tests {
+
+/// The platform's store of a simulated fleet: rows, and the list of instances.
+/// Instances report to it at intervals; the entry of an instance that has not
+/// reported for three intervals expires, also while the store is down.
+class simulated_store {
+public:
+  static constexpr const char *Node = "store";
+
+  simulated_store(event_queue &Queue, simulated_network &Network,
+                  simulated_group &Group);
+
+  /// While it is down, the store answers nothing and takes no report.
+  void setDown(bool Value) { IsDown = Value; }
+  [[nodiscard]] bool isDown() const { return IsDown; }
+  /// Applies a request. The caller delivers the answer.
+  base::store_answer execute(const base::store_request &Request);
+  [[nodiscard]] instance_reading listing() const;
+  /// Whether the instance has reported that it leaves.
+  [[nodiscard]] bool listsDraining(const base::instance_id &Id) const {
+    auto Entry = Entries.find(Id);
+    return Entry != Entries.end() && Entry->second.Listing.Draining;
+  }
+  /// Version of the last change of the list of instances.
+  [[nodiscard]] std::uint64_t listingVersion() const { return ListingVersion; }
+  /// Stores a row without a condition.
+  void put(const base::row_key &Key, const base::json &Value);
+
+private:
+  struct entry {
+    instance_listing Listing;
+    base::time_point ReportedAt;
+  };
+
+  void tick();
+
+  event_queue &Queue;
+  simulated_network &Network;
+  simulated_group &Group;
+  std::map<base::row_key, base::table_row> Rows;
+  std::map<base::instance_id, entry> Entries;
+  std::uint64_t Version = 1;
+  std::uint64_t ListingVersion = 1;
+  bool IsDown = false;
+};
+
+} // namespace radishrelay::sessions::tests
+
+#endif
