Abort a transaction whose preparation fails; ignore rows of other types

An error of SET or PREPARE inside a transaction that had written opened it again elsewhere without its writes; outside one, the attempts had no end. A second START erased the session and left its connection assigned to nobody. A row of members or promotions with fields of other types threw out of the event loop and ended the process.

Change: the first takes the path of a lost connection (rolled back, retried only where nothing has run), START gives the connection back, and fields are read through base::textField and base::flagField; an unreadable member is logged and skipped.

--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -121,7 +121,8 @@
   };
 
   // Statements from clients; defined in session_statements.cpp.
-  void start(session &Session, const start_session &Message);
+  void start(session &Session, const start_session &Message,
+             base::time_point Now);
   void run(session &Session, const run_statement &Message,
            base::time_point Now);
   void runInFailedTransaction(session &Session, const statement &Statement,
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -1,5 +1,6 @@
 #include "radishrelay/sessions/detail/fleet_members.h"
 
+#include "radishrelay/base/json_fields.h"
 #include "radishrelay/base/rendezvous.h"
 
 #include <algorithm>
@@ -176,10 +177,14 @@
     return;
   std::map<std::string, member> Current;
   for (const base::table_row &Row : Answer.Rows) {
-    if (!Row.Value.is_object())
+    member Member{Row.Version, Now, base::textField(Row.Value, "domain"),
+                  base::textField(Row.Value, "address")};
+    if (Member.Domain.empty()) {
+      if (Log.wantsDecision(true))
+        Log.decision("row of a member not readable",
+                     {{"host", Row.Key.Key}, {"version", Row.Version}});
       continue;
-    member Member{Row.Version, Now, Row.Value.value("domain", std::string()),
-                  Row.Value.value("address", std::string())};
+    }
     auto Known = Members.find(Row.Key.Key);
     if (Known != Members.end() && Known->second.Version == Row.Version)
       Member.SeenAt = Known->second.SeenAt;
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -1,5 +1,7 @@
 #include "radishrelay/sessions/promotion.h"
 
+#include "radishrelay/base/json_fields.h"
+
 #include <algorithm>
 
 namespace radishrelay::sessions {
@@ -109,7 +111,7 @@
       Answer.Rows.empty() ? nullptr : &Answer.Rows.front();
   base::row_version Version = Row ? Row->Version : 0;
   bool IsOwnRepeat = Row && !Operation.empty() &&
-                     Row->Value.value("operation", "") == Operation;
+                     base::textField(Row->Value, "operation") == Operation;
   if (IsOwnRepeat) {
     Generation = Version;
     beginFencing(Now, Actions);
@@ -121,8 +123,9 @@
   }
   // Respects a claim on an older term too: its owner may still repeat an order,
   // and a lower generation must not follow a higher one.
-  bool IsDone = Row && Row->Value.value("done", false);
-  bool IsOthersActive = Row && Row->Value.value("holder", "") != claimOwner() &&
+  bool IsDone = Row && base::flagField(Row->Value, "done");
+  bool IsOthersActive = Row &&
+                        base::textField(Row->Value, "holder") != claimOwner() &&
                         Now < SeenAt + (IsDone ? DutyPeriod : ClaimPeriod);
   if (IsOthersActive) {
     abandon("another host holds the claim", Now, Actions);
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -158,7 +158,7 @@
   session &Session = Sessions[Number];
   Session.Number = Number;
   if (const auto *Start = std::get_if<start_session>(&Message)) {
-    start(Session, *Start);
+    start(Session, *Start, Now);
   } else if (const auto *Run = std::get_if<run_statement>(&Message)) {
     run(Session, *Run, Now);
   } else {
--- a/packages/sessions/src/session_replies.cpp
+++ b/packages/sessions/src/session_replies.cpp
@@ -170,9 +170,11 @@
   switch (Operation.Stage) {
   case stage::Preparing:
     if (Reply.Error) {
-      // The values set on the connection are unknown after an error.
+      // The values set on the connection are unknown after an error. Closing it
+      // rolls back the transaction that it carries.
+      base::instance_id Instance = Connection.Instance;
       Pool.discard(Connection.Number);
-      retry(Session, nullptr, refusal::Busy, session_phase::Idle, Now);
+      connectionLost(Session, Instance, refusal::Busy, Now);
     } else if (--Operation.AwaitedReplies == 0) {
       beginOrSend(Session, Connection, Now);
     }
--- a/packages/sessions/src/session_statements.cpp
+++ b/packages/sessions/src/session_statements.cpp
@@ -36,10 +36,11 @@
   return std::nullopt;
 }
 
-void session_engine::start(session &Session, const start_session &Message) {
+void session_engine::start(session &Session, const start_session &Message,
+                           base::time_point Now) {
   if (Session.IsStarted) {
     Clients.close(Session.Number);
-    Sessions.erase(Session.Number);
+    remove(Session.Number, Now);
     return;
   }
   Session.Database = Message.Database;
--- a/packages/sessions/tests/engine_failures_test.cpp
+++ b/packages/sessions/tests/engine_failures_test.cpp
@@ -135,6 +135,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_preparation_is_rejected)
+
+// Guards against lost writes: the transaction was opened again on another
+// connection, without the writes that it had made, and then committed.
+BOOST_AUTO_TEST_CASE(aborts_a_transaction_that_has_written) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "begin");
+  BOOST_TEST(!Fleet.ask(Session, "write x 1").Error.has_value());
+  Fleet.ask(Session, "prepare-write q shape");
+  Fleet.PreparationError = refusal::Busy;
+  BOOST_TEST((Fleet.ask(Session, "execute q").Error == refusal::Aborted));
+  Fleet.PreparationError.reset();
+  BOOST_TEST((Fleet.ask(Session, "commit").Error == refusal::Aborted));
+}
+
+// Guards against attempts without end.
+BOOST_AUTO_TEST_CASE(is_refused_after_some_attempts) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "prepare-read q shape");
+  Fleet.PreparationError = refusal::Busy;
+  base::time_point SentAt = Fleet.now();
+  BOOST_TEST((Fleet.ask(Session, "execute q").Error == refusal::Busy));
+  BOOST_TEST(((Fleet.now() - SentAt) < 800ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace radishrelay::sessions::tests
--- a/packages/sessions/tests/engine_statements_test.cpp
+++ b/packages/sessions/tests/engine_statements_test.cpp
@@ -241,6 +241,21 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a connection that no session owns and no one closes.
+BOOST_AUTO_TEST_CASE(that_is_started_twice_gives_its_connection_back) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "begin");
+  Fleet.ask(Session, "write x 1");
+  Fleet.Requests.clear();
+  Fleet.engine().clientMessage(Session, start_session{"primary", "key-1"},
+                               Fleet.now());
+  Fleet.advanceTime(10ms);
+  BOOST_TEST(Fleet.wasClosed(Session));
+  BOOST_REQUIRE(!Fleet.Requests.empty());
+  BOOST_TEST((Fleet.Requests[0].second.Verb == backend_verb::Rollback));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace radishrelay::sessions::tests
--- a/packages/sessions/tests/fake_fleet.cpp
+++ b/packages/sessions/tests/fake_fleet.cpp
@@ -239,6 +239,10 @@
   case backend_verb::Forward:
   case backend_verb::Execute:
     return std::nullopt;
+  case backend_verb::SetValue:
+  case backend_verb::Prepare:
+    Reply.Error = PreparationError;
+    return Reply;
   case backend_verb::Begin:
   case backend_verb::BeginReadOnly:
     if (Instance.RejectReason)
--- a/packages/sessions/tests/members_test.cpp
+++ b/packages/sessions/tests/members_test.cpp
@@ -285,6 +285,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a process that ends because of one unreadable row.
+BOOST_AUTO_TEST_CASE(ignores_rows_whose_fields_have_other_types) {
+  fake_fleet Fleet;
+  Fleet.Rows[{"members", "h9"}] = {
+      {"members", "h9"}, 99, {{"domain", 5}, {"address", nullptr}}};
+  Fleet.Rows[{"promotions", "g"}] = {
+      {"promotions", "g"},
+      100,
+      {{"holder", 1}, {"operation", false}, {"done", "yes"}}};
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  Fleet.instance("r1").Log = Fleet.instance("p").Log;
+  Fleet.instance("p").IsUnresponsive = true;
+  for (int Round = 0; Round < 100; ++Round) {
+    Fleet.ask(Session, "write x 1");
+    Fleet.advanceTime(100ms);
+  }
+  BOOST_TEST(Fleet.PromotionOrders.size() == 1U);
+  // Only this host counts as a member.
+  BOOST_TEST(Fleet.engine().dump()["fleet"]["hosts"].get<int>() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace radishrelay::sessions::tests
--- a/packages/sessions/tests/support/fake_fleet.h
+++ b/packages/sessions/tests/support/fake_fleet.h
@@ -90,6 +90,8 @@
   std::vector<std::pair<base::instance_id, std::uint64_t>> PromotionOrders;
   std::map<base::row_key, base::table_row> Rows;
   bool IsStoreDown = false;
+  /// If set, instances reject Prepare and SetValue with this error.
+  std::optional<refusal> PreparationError;
   /// Address and content of each datagram that the engine sent.
   std::vector<std::pair<std::string, std::string>> Datagrams;
   /// Lines that the engine wrote to the log of state changes.
