--- a/packages/daemon/include/radishrelay/daemon/session_daemon.h
+++ b/packages/daemon/include/radishrelay/daemon/session_daemon.h
@@ -82,6 +82,8 @@
   service_events serviceEvents();
   status_page statusPage(const std::string &Path);
   void updateGauges();
+  /// Counts a call to the platform, by what it does.
+  void countStoreCall(const std::string &Call);
 
   session_settings Settings;
   const sessions::session_protocol &Protocol;
--- a/packages/daemon/src/session_daemon.cpp
+++ b/packages/daemon/src/session_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "radishrelay/base/log.h"
 #include "radishrelay/base/rendezvous.h"
+#include "radishrelay/daemon/store_call_name.h"
 
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/NetException.h>
@@ -253,6 +254,9 @@
   auto Entry = Clients.find(keyOf(Session));
   if (Entry == Clients.end())
     return;
+  if (Answer.Error)
+    Metrics.increment({"radishrelay_statement_errors_total", "error",
+                       std::string(sessions::refusalName(*Answer.Error))});
   Protocol.encode(Answer, Entry->second.Stream->output());
   DirtyClients.push_back(Session);
 }
@@ -351,6 +355,7 @@
 
 void session_daemon::execute(sessions::store_call_number Call,
                              const base::store_request &Request) {
+  countStoreCall(storeCallName(Request));
   if (Services->execute(Call, Request))
     return;
   Loop.post([this, Call] {
@@ -364,15 +369,18 @@
                              const base::group_id &Group,
                              const base::instance_id &Instance,
                              std::uint64_t Generation) {
+  countStoreCall("promote");
   Services->promote(Call, Group, Instance, base::host_id(Settings.HostId),
                     Generation);
 }
 
 void session_daemon::readCatalog(base::duration Wait) {
+  countStoreCall(readCallName("configuration", Wait));
   Services->readCatalog(Wait);
 }
 
 void session_daemon::readInstances(base::duration Wait) {
+  countStoreCall(readCallName("instances", Wait));
   Services->readInstances(Wait);
 }
 
--- a/packages/daemon/src/session_daemon_status.cpp
+++ b/packages/daemon/src/session_daemon_status.cpp
@@ -27,6 +27,10 @@
   Set("radishrelay_backend_connections", Backends.size());
 }
 
+void session_daemon::countStoreCall(const std::string &Call) {
+  Metrics.increment({"radishrelay_store_calls_total", "call", Call});
+}
+
 status_page session_daemon::statusPage(const std::string &Path) {
   constexpr int Unavailable = 503;
   constexpr int NotFound = 404;
