Start no promotion while a host stops; end after the one in progress

The store returns at 34.3 s, so a promotion without the primary, lost in a cut domain at 33.5 s, waits until 36.8 s for instances that are not listed yet. At 36.5 s front-wdh-a-1, which had been draining since 35.0 s, claimed it; it ended at 37.2 s and left its claim and the fences of both replicas. The others respected the claim until all hosts restarted at 41 s, and the restarted ones for another 4.5 s: no primary from 34 to 50 s.

--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -62,6 +62,10 @@
   /// whose acknowledgement depends on a replica, since a replaced primary
   /// cannot acknowledge them.
   [[nodiscard]] std::optional<base::instance_id> primaryForWrites() const;
+  /// From now on this host starts no promotion; one that is in progress goes
+  /// on.
+  void stopPromoting() { MayPromote = false; }
+  [[nodiscard]] bool isPromoting() const { return !Promotion.isIdle(); }
   /// Whether the platform has been asked to promote an instance, so that a new
   /// primary is expected within PromotionTimeout.
   [[nodiscard]] bool isPromotionOrdered() const;
@@ -198,6 +202,7 @@
   /// the present replicas.
   base::time_point ReplicasChangedAt;
   bool IsListRequested = false;
+  bool MayPromote = true;
 
   /// Last time at which a session or another host needed a proof.
   base::time_point ProofRequestedAt;
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -71,9 +71,9 @@
   /// Starts a graceful shutdown, which closes sessions between transactions.
   /// See engine_options for its deadlines.
   void drain(base::time_point Now);
-  [[nodiscard]] bool isDrained() const {
-    return IsDraining && Sessions.empty();
-  }
+  /// Whether all sessions have ended and no promotion of this host is in
+  /// progress.
+  [[nodiscard]] bool isDrained() const;
   /// Whether the load balancer should send new sessions to this host.
   [[nodiscard]] bool isReady() const;
 
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -111,7 +111,7 @@
     castVote(Now);
   bool IsDue =
       IsLeaving || Votes.hasQuorum(Leadership.highestTerm(), Roles, Now);
-  if (!IsDue || !Roles.IsPromoter)
+  if (!IsDue || !Roles.IsPromoter || !MayPromote)
     return;
   if (!ReplaceDueSince)
     ReplaceDueSince = Now;
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -128,6 +128,8 @@
       Entry->second =
           std::make_unique<supervisor>(Id, Options, Pool, Store, Members, Log);
       Entry->second->setListings(List, Now);
+      if (IsDraining)
+        Entry->second->stopPromoting();
     }
     Entry->second->setSettings(Settings);
     if (!Catalog->Limits.empty())
@@ -348,51 +350,6 @@
   }
 }
 
-void session_engine::endIdleTransactions(base::time_point Now) {
-  if (!Catalog || Catalog->TransactionIdleTimeout <= base::duration::zero())
-    return;
-  for (auto &[Number, Session] : Sessions) {
-    detail::transaction_state &Transaction = Session.Transaction;
-    bool IsIdle =
-        Session.Phase == session_phase::InTransaction && !Session.Current &&
-        Transaction.Connection &&
-        Now >= Transaction.LastUsedAt + Catalog->TransactionIdleTimeout;
-    if (!IsIdle)
-      continue;
-    if (connection *Connection = Pool.find(*Transaction.Connection))
-      Pool.rollBackAndRelease(*Connection, Now);
-    Transaction.Connection.reset();
-    Transaction.EndReason = "the transaction was idle for too long";
-  }
-}
-
-void session_engine::drain(base::time_point Now) {
-  if (IsDraining)
-    return;
-  IsDraining = true;
-  DrainingSince = Now;
-  Log.stateChange("drain started", {{"sessions", Sessions.size()}});
-}
-
-void session_engine::drainSessions(base::time_point Now) {
-  bool ClosesIdle = Now >= DrainingSince + Options.BalancerDelay;
-  bool ClosesTransactions =
-      Now >= DrainingSince + Options.TransactionDrainTimeout;
-  bool ClosesAll = Now >= DrainingSince + Options.StatementDrainTimeout;
-  std::vector<session_number> Ended;
-  for (const auto &[Number, Session] : Sessions) {
-    bool IsRunning = Session.Current.has_value();
-    bool IsIdle = Session.Phase == session_phase::Idle;
-    if (ClosesAll || (ClosesTransactions && !IsRunning) ||
-        (ClosesIdle && !IsRunning && IsIdle))
-      Ended.push_back(Number);
-  }
-  for (session_number Number : Ended) {
-    Clients.close(Number);
-    remove(Number, Now);
-  }
-}
-
 base::json session_engine::dump() const {
   base::json Result = base::json::object();
   Result["configuration_version"] = Catalog ? Catalog->Version : 0;
