--- a/packages/sessions/tests/simulated_group.cpp
+++ b/packages/sessions/tests/simulated_group.cpp
@@ -63,7 +63,7 @@
 void simulated_group::execute(const base::instance_id &Id,
                               const std::string &Connection,
                               const backend_request &Request,
-                              reply_function Reply) {
+                              const reply_function &Reply) {
   simulated_instance &Instance = Instances.at(Id);
   bool IsOpen = Transactions.contains(Connection);
   session_phase Phase =
@@ -71,7 +71,7 @@
   switch (Request.Verb) {
   case backend_verb::Forward:
   case backend_verb::Execute:
-    runStatement(Instance, Connection, Request, std::move(Reply));
+    runStatement(Instance, Connection, Request, Reply);
     return;
   case backend_verb::Begin:
   case backend_verb::BeginReadOnly: {
@@ -133,7 +133,7 @@
 void simulated_group::runStatement(simulated_instance &Instance,
                                    const std::string &Connection,
                                    const backend_request &Request,
-                                   reply_function Reply) {
+                                   const reply_function &Reply) {
   statement Parsed = parse(Request.Text);
   auto Transaction = Transactions.find(Connection);
   bool IsOpen = Transaction != Transactions.end();
--- a/packages/sessions/tests/support/simulated_group.h
+++ b/packages/sessions/tests/support/simulated_group.h
@@ -75,7 +75,7 @@
   /// Executes a request that has reached \p Id on connection \p Connection of a
   /// host. \p Reply is called once the instance answers, which may be never.
   void execute(const base::instance_id &Id, const std::string &Connection,
-               const backend_request &Request, reply_function Reply);
+               const backend_request &Request, const reply_function &Reply);
   void endConnection(const std::string &Connection) {
     Transactions.erase(Connection);
   }
@@ -142,7 +142,8 @@
   [[nodiscard]] backend_reply statusReply(const simulated_instance &Instance,
                                           session_phase Phase) const;
   void runStatement(simulated_instance &Instance, const std::string &Connection,
-                    const backend_request &Request, reply_function Reply);
+                    const backend_request &Request,
+                    const reply_function &Reply);
 
   event_queue &Queue;
   simulated_network &Network;
