Log the history and position of reads of the store

Change: the adapter reads the number of the store's history from each answer. The lines 'store history changed', 'store read again after failures' and 'older configuration ignored' name history, version and position; three gauges show history, its changes and the configuration in force. No decision uses these.

--- a/packages/daemon/include/radishrelay/daemon/service_threads.h
+++ b/packages/daemon/include/radishrelay/daemon/service_threads.h
@@ -19,7 +19,7 @@
 /// thread.
 struct service_events {
   /// Result of a read, with its start time and its allowed wait for a change.
-  std::function<void(base::expected<sessions::catalog_ptr>,
+  std::function<void(base::expected<sessions::catalog_reading>,
                      sessions::read_times)>
       Catalog;
   std::function<void(base::expected<sessions::instance_reading>,
--- a/packages/daemon/src/session_daemon_status.cpp
+++ b/packages/daemon/src/session_daemon_status.cpp
@@ -16,6 +16,9 @@
   Set("radishrelay_reads_on_primaries", Counters.ReadsOnPrimaries);
   Set("radishrelay_retried_elsewhere", Counters.StatementRetries);
   Set("radishrelay_rate_exceeded", Counters.RateExceeded);
+  Set("radishrelay_store_history", Engine.storeHistory());
+  Set("radishrelay_store_history_changes", Counters.StoreHistoryChanges);
+  Set("radishrelay_configuration_version", Engine.configurationVersion());
   Set("radishrelay_backend_connections_opened", Engine.connectionsOpened());
   for (std::size_t Verb = 0; Verb < sessions::BackendVerbCount; ++Verb) {
     auto Name = sessions::verbName(static_cast<sessions::backend_verb>(Verb));
--- a/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
@@ -49,6 +49,10 @@
   /// watcher and a call has succeeded since the last report.
   std::optional<watch_report> takeReport(base::time_point Now);
 
+  /// Whether the last call has failed.
+  [[nodiscard]] bool isFailing(watched_source Source) const {
+    return sourceEntry(Source).RetryDelay > base::duration::zero();
+  }
   /// Whether the last successful read followed an outage of the store.
   [[nodiscard]] bool hadOutage(watched_source Source) const {
     return sourceEntry(Source).HadOutage;
--- a/packages/sessions/include/radishrelay/sessions/engine_counters.h
+++ b/packages/sessions/include/radishrelay/sessions/engine_counters.h
@@ -17,6 +17,8 @@
   std::uint64_t StatementRetries = 0;
   /// Statements rejected because the rate of their account was exceeded.
   std::uint64_t RateExceeded = 0;
+  /// Changes of the store's history that this host has seen.
+  std::uint64_t StoreHistoryChanges = 0;
 
   friend bool operator==(const engine_counters &,
                          const engine_counters &) = default;
--- a/packages/sessions/include/radishrelay/sessions/fleet_services.h
+++ b/packages/sessions/include/radishrelay/sessions/fleet_services.h
@@ -12,14 +12,33 @@
 
 namespace radishrelay::sessions {
 
+/// The versions between which a source was read; see base::versionIn.
+struct read_span {
+  /// Version after which changes were requested; 0 if everything was read.
+  std::uint64_t After = 0;
+  /// Version of the store at which the source was read.
+  std::uint64_t UpTo = 0;
+
+  friend bool operator==(const read_span &, const read_span &) = default;
+};
+
+/// The operators' configuration as read from the platform.
+struct catalog_reading {
+  /// Null if there was no change.
+  catalog_ptr Catalog;
+  read_span Span;
+
+  friend bool operator==(const catalog_reading &,
+                         const catalog_reading &) = default;
+};
+
 /// Provides the operators' configuration. Blocking; used by one thread.
 class catalog_source {
 public:
   virtual ~catalog_source() = default;
-  /// Waits up to \p Wait for a configuration that was not returned before; null
-  /// if there is none.
-  virtual base::expected<catalog_ptr> next(base::duration Wait,
-                                           base::time_point Deadline) = 0;
+  /// Waits up to \p Wait for a configuration that was not returned before.
+  virtual base::expected<catalog_reading> next(base::duration Wait,
+                                               base::time_point Deadline) = 0;
 };
 
 /// The list of instances as read from the platform.
@@ -29,6 +48,7 @@
   std::uint64_t Version = 0;
   /// Version of the last change of the list, or a later one.
   std::uint64_t ChangedVersion = 0;
+  read_span Span;
 
   friend bool operator==(const instance_reading &,
                          const instance_reading &) = default;
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -10,6 +10,7 @@
 #include "radishrelay/sessions/detail/fleet_members.h"
 #include "radishrelay/sessions/detail/group_supervisor.h"
 #include "radishrelay/sessions/detail/session_state.h"
+#include "radishrelay/sessions/detail/store_history.h"
 #include "radishrelay/sessions/detail/store_watch.h"
 #include "radishrelay/sessions/engine_counters.h"
 #include "radishrelay/sessions/fleet_services.h"
@@ -50,9 +51,8 @@
   void backendLost(backend_number Connection, std::optional<refusal> Reason,
                    base::time_point Now);
 
-  /// Called with the result of coordination_port::readCatalog. The catalog is
-  /// null when there is no newer one.
-  void catalogRead(const base::expected<catalog_ptr> &Reading,
+  /// Called with the result of coordination_port::readCatalog.
+  void catalogRead(const base::expected<catalog_reading> &Reading,
                    const read_times &Times, base::time_point Now);
   /// Called with the result of coordination_port::readInstances.
   void instancesRead(const base::expected<instance_reading> &Reading,
@@ -84,6 +84,12 @@
   [[nodiscard]] base::time_point nextWake(base::time_point Now) const;
 
   [[nodiscard]] const engine_counters &counters() const { return Counters; }
+  /// Version of the adopted configuration; 0 if there is none.
+  [[nodiscard]] std::uint64_t configurationVersion() const {
+    return Catalog ? Catalog->Version : 0;
+  }
+  /// The latest history of the store that this host has seen.
+  [[nodiscard]] std::uint64_t storeHistory() const { return History.current(); }
   /// Requests sent to instances, by backend_verb.
   [[nodiscard]] const detail::request_counts &requests() const {
     return Pool.requests();
@@ -227,6 +233,10 @@
   supervisor *groupOf(const base::group_id &Group);
   void updateGroups(base::time_point Now);
   void watchStore(base::time_point Now);
+  /// Logs a change of the store's history, and the first read of \p Source
+  /// after failed ones.
+  void recordRead(detail::watched_source Source, const read_span &Span,
+                  bool IsChanged, base::time_point Now);
   connection *connectionOf(const session &Session);
   void remove(session_number Number, base::time_point Now);
 
@@ -239,6 +249,7 @@
   detail::fleet_members Members;
   detail::fleet_limits Limits;
   detail::store_watch Watch;
+  detail::store_history History;
   listing_cache Listings;
   /// Version of the set of hosts for which the groups were last updated.
   std::uint64_t HostsVersion = 0;
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -24,15 +24,23 @@
   return Catalog && !Instances.empty() && !IsDraining;
 }
 
-void session_engine::catalogRead(const base::expected<catalog_ptr> &Reading,
+void session_engine::catalogRead(const base::expected<catalog_reading> &Reading,
                                  const read_times &Times,
                                  base::time_point Now) {
   if (!Reading) {
     Watch.failed(detail::watched_source::Catalog, Now);
     return;
   }
-  if (*Reading)
-    setCatalog(*Reading, Now);
+  const catalog_ptr &Read = Reading->Catalog;
+  recordRead(detail::watched_source::Catalog, Reading->Span, Read != nullptr,
+             Now);
+  if (Read && Catalog && Read->Version < Catalog->Version)
+    Log.stateChange("older configuration ignored",
+                    {{"version", Read->Version},
+                     {"adopted", Catalog->Version},
+                     {"history", base::historyOf(Reading->Span.UpTo)}});
+  if (Read)
+    setCatalog(Read, Now);
   std::uint64_t Version = Catalog ? Catalog->Version : 0;
   Watch.confirmed(detail::watched_source::Catalog, {Version, Version}, Times,
                   Now);
@@ -45,6 +53,8 @@
     Watch.failed(detail::watched_source::Instances, Now);
     return;
   }
+  bool IsChanged = Reading->ChangedVersion == Reading->Version;
+  recordRead(detail::watched_source::Instances, Reading->Span, IsChanged, Now);
   Watch.confirmed(detail::watched_source::Instances,
                   {Reading->Version, Reading->ChangedVersion}, Times, Now);
   if (Watch.hadOutage(detail::watched_source::Instances))
@@ -52,6 +62,27 @@
   setInstances(Listings.merge(Reading->List, Now), Now);
 }
 
+void session_engine::recordRead(detail::watched_source Source,
+                                const read_span &Span, bool IsChanged,
+                                base::time_point Now) {
+  base::json Fields = {{"source", detail::sourceName(Source)},
+                       {"history", base::historyOf(Span.UpTo)},
+                       {"version", base::storeNumberOf(Span.UpTo)},
+                       {"after_history", base::historyOf(Span.After)},
+                       {"after", base::storeNumberOf(Span.After)},
+                       {"changed", IsChanged},
+                       {"configuration", configurationVersion()}};
+  bool IsFirst = !History.firstSeenAt();
+  std::uint64_t Before = History.current();
+  if (History.observe(Span.UpTo, Now)) {
+    Fields["before"] = Before;
+    Counters.StoreHistoryChanges += IsFirst ? 0 : 1;
+    Log.stateChange("store history changed", Fields);
+  } else if (Watch.isFailing(Source)) {
+    Log.stateChange("store read again after failures", Fields);
+  }
+}
+
 void session_engine::watchStore(base::time_point Now) {
   Watch.setWatcher(Members.isWatcher());
   if (auto Wait = Watch.startCall(detail::watched_source::Catalog, Now))
--- a/packages/sessions/tests/simulated_host.cpp
+++ b/packages/sessions/tests/simulated_host.cpp
@@ -231,7 +231,7 @@
     bool Reaches = World.Network.reaches(Name, simulated_store::Node) &&
                    !World.Store.isDown();
     if (Reaches)
-      Engine->catalogRead(catalog_ptr{}, Times, World.Queue.now());
+      Engine->catalogRead(catalog_reading{}, Times, World.Queue.now());
     else
       Engine->catalogRead(
           base::failure{std::make_error_code(std::errc::timed_out),
--- a/packages/tables/include/radishrelay/tables/http_connection.h
+++ b/packages/tables/include/radishrelay/tables/http_connection.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,12 @@
 struct http_response {
   int Status = 0;
   std::string Body;
+  /// Header fields in the order in which they were received.
+  std::vector<std::pair<std::string, std::string>> Headers{};
+
+  /// Returns the value of the first header field \p Name, compared without
+  /// regard to case; empty if there is none.
+  [[nodiscard]] std::string header(std::string_view Name) const;
 };
 
 /// The failure of a request that got no complete response.
--- a/packages/tables/src/http_connection.cpp
+++ b/packages/tables/src/http_connection.cpp
@@ -7,6 +7,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include <algorithm>
 
 namespace radishrelay::tables {
@@ -50,6 +52,13 @@
 
 } // namespace
 
+std::string http_response::header(std::string_view Name) const {
+  for (const auto &[Field, Value] : Headers)
+    if (boost::algorithm::iequals(Field, Name))
+      return Value;
+  return {};
+}
+
 http_connection::http_connection(std::string Address)
     : Address(std::move(Address)) {}
 
@@ -92,6 +101,7 @@
   std::istream &Stream = Session->receiveResponse(Response);
   http_response Result;
   Result.Status = Response.getStatus();
+  Result.Headers.assign(Response.begin(), Response.end());
   Poco::StreamCopier::copyToString(Stream, Result.Body);
   bool Complete = !Response.hasContentLength() ||
                   Response.getContentLength() ==
