--- a/packages/base/include/radishrelay/base/store_request.h
+++ b/packages/base/include/radishrelay/base/store_request.h
@@ -19,7 +19,8 @@
   friend auto operator<=>(const row_key &, const row_key &) = default;
 };
 
-/// Version of a row; 0 if the row is absent.
+/// Version of a row; 0 if the row is absent. Later writes have higher versions,
+/// also across histories of the store (see store_version.h).
 using row_version = std::uint64_t;
 
 /// A row read from the table service.
--- a/packages/sessions/include/radishrelay/sessions/fleet_services.h
+++ b/packages/sessions/include/radishrelay/sessions/fleet_services.h
@@ -44,11 +44,9 @@
 /// The list of instances as read from the platform.
 struct instance_reading {
   std::vector<instance_listing> List;
-  /// Version of the store at which the list was read.
-  std::uint64_t Version = 0;
+  read_span Span;
   /// Version of the last change of the list, or a later one.
   std::uint64_t ChangedVersion = 0;
-  read_span Span;
 
   friend bool operator==(const instance_reading &,
                          const instance_reading &) = default;
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -53,10 +53,10 @@
     Watch.failed(detail::watched_source::Instances, Now);
     return;
   }
-  bool IsChanged = Reading->ChangedVersion == Reading->Version;
+  bool IsChanged = Reading->ChangedVersion == Reading->Span.UpTo;
   recordRead(detail::watched_source::Instances, Reading->Span, IsChanged, Now);
   Watch.confirmed(detail::watched_source::Instances,
-                  {Reading->Version, Reading->ChangedVersion}, Times, Now);
+                  {Reading->Span.UpTo, Reading->ChangedVersion}, Times, Now);
   if (Watch.hadOutage(detail::watched_source::Instances))
     Listings.recordOutage();
   setInstances(Listings.merge(Reading->List, Now), Now);
--- a/packages/sessions/tests/fake_fleet.cpp
+++ b/packages/sessions/tests/fake_fleet.cpp
@@ -108,7 +108,7 @@
   Published.List.clear();
   for (const auto &[Name, Listing] : Listings)
     Published.List.push_back(Listing);
-  Published.ChangedVersion = ++Published.Version;
+  Published.ChangedVersion = ++Published.Span.UpTo;
   settle(); // lets the engine start a read
   answerList();
   settle();
--- a/packages/sessions/tests/simulated_store.cpp
+++ b/packages/sessions/tests/simulated_store.cpp
@@ -53,7 +53,7 @@
   instance_reading Reading;
   for (const auto &[Id, Entry] : Entries)
     Reading.List.push_back(Entry.Listing);
-  Reading.Version = Version;
+  Reading.Span.UpTo = Version;
   Reading.ChangedVersion = ListingVersion;
   return Reading;
 }
