Treat the first read of a restored store as a read after an outage

What callers may see: a promotion without the old primary counts on a list of instances that the copy shows incompletely; a host takes a report of a watcher that knows only the lost history as a confirmation of its own list. Cause: an outage was recognised by failed reads or a long silence alone, and reports were compared without regard to the history. Change: store_watch treats a change of the history as an outage, and ignores reports from an earlier history. Evidence: when_only_a_report_from_an_earlier_history_confirms_it and if_it_belongs_to_a_later_history failed before.

--- a/packages/sessions/src/store_watch.cpp
+++ b/packages/sessions/src/store_watch.cpp
@@ -1,5 +1,7 @@
 #include "radishrelay/sessions/detail/store_watch.h"
 
+#include "radishrelay/base/store_version.h"
+
 #include <algorithm>
 
 namespace radishrelay::sessions::detail {
@@ -58,8 +60,12 @@
                    Now >= Times.SentAt + Times.Wait;
   base::time_point AsOf = HasWaited ? Times.SentAt + Times.Wait : Times.SentAt;
   Entry.IsCalling = false;
+  // A store that was restored from a copy lacks entries as after an outage.
+  bool IsRestored =
+      Entry.ConfirmedAt &&
+      base::historyOf(State.Version) > base::historyOf(Entry.Known.Version);
   Entry.HadOutage =
-      Entry.RetryDelay > base::duration::zero() ||
+      IsRestored || Entry.RetryDelay > base::duration::zero() ||
       (Entry.ConfirmedAt && AsOf > *Entry.ConfirmedAt + OutageThreshold);
   Entry.RetryDelay = {};
   if (Entry.HadOutage || !Entry.ConfirmedAt)
@@ -82,7 +88,9 @@
   for (std::size_t Index = 0; Index < WatchedSources; ++Index) {
     const source_report &Reported = Report.Sources.at(Index);
     source &Entry = Sources.at(Index);
-    if (!Reported.IsKnown || Reported.Age < base::duration::zero())
+    bool IsLost = base::historyOf(Reported.ChangedVersion) <
+                  base::historyOf(Entry.Known.Version);
+    if (!Reported.IsKnown || IsLost || Reported.Age < base::duration::zero())
       continue;
     if (Reported.ChangedVersion > Entry.Known.Version) {
       Entry.ReportedVersion =
--- a/packages/sessions/tests/store_watch_test.cpp
+++ b/packages/sessions/tests/store_watch_test.cpp
@@ -1,5 +1,7 @@
 #include "radishrelay/sessions/detail/store_watch.h"
 
+#include "radishrelay/base/store_version.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace radishrelay::sessions::tests {
@@ -17,6 +19,10 @@
   return base::fromMicroseconds(100'000'000) + Time;
 }
 
+std::uint64_t inHistory(std::uint64_t History, std::uint64_t Number) {
+  return base::versionIn(History, Number);
+}
+
 /// A host that read version 7 at time 0.
 struct informed_host {
   informed_host() {
@@ -84,6 +90,16 @@
   BOOST_TEST(Watch.startCall(Catalog, at(Due)).has_value());
 }
 
+// A watcher that still knows the history that the store has lost.
+BOOST_FIXTURE_TEST_CASE(when_only_a_report_from_an_earlier_history_confirms_it,
+                        informed_host) {
+  Watch.confirmed(Catalog, {inHistory(2, 5), inHistory(2, 5)}, {at(0ms), 0ms},
+                  at(0ms));
+  report(inHistory(1, 900), 0ms, 2000ms);
+  BOOST_TEST(Watch.startCall(Catalog, at(store_watch::ConfirmationLifetime))
+                 .has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(continuously_by_a_watcher_that_waits_for_changes,
                         informed_host) {
   Watch.setWatcher(true);
@@ -148,6 +164,15 @@
   BOOST_TEST(Watch.hadOutage(Catalog));
 }
 
+// The copy that the store was restored from lacks the latest entries.
+BOOST_FIXTURE_TEST_CASE(if_it_belongs_to_a_later_history, informed_host) {
+  Watch.confirmed(Catalog, {inHistory(1, 3), inHistory(1, 3)},
+                  {at(1000ms), 0ms}, at(1001ms));
+  BOOST_TEST(Watch.hadOutage(Catalog));
+  BOOST_TEST(!Watch.isComplete(Catalog, at(3400ms)));
+  BOOST_TEST(Watch.isComplete(Catalog, at(3500ms)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
