Claim no promotion while a claim may be lost with the store's history

Cause: a claim was taken for lasting once the store had acknowledged it. A restored store may have lost it while its owner still fences and orders, and shows the group as unclaimed. A host that starts cannot know when the present history began. Change: a host claims nothing for the lifetime of a claim (4.5 s) after it has first seen a history of the store, and counts no claim of its own whose read and write belong to different histories. The engine records the history from each answer of the tables too. Test: gets_another_primary_without_a_vote began to promote right at the start of its host, which is what the change forbids; it now starts 4.5 s later, with the same bounds. Evidence: the cases of on_a_store_that_was_restored fail without the guards (claims at once; fences after the write into the new history).

--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -6,6 +6,7 @@
 #include "radishrelay/sessions/detail/fleet_members.h"
 #include "radishrelay/sessions/detail/promotion_votes.h"
 #include "radishrelay/sessions/detail/store_calls.h"
+#include "radishrelay/sessions/detail/store_history.h"
 #include "radishrelay/sessions/event_log.h"
 #include "radishrelay/sessions/group_leadership.h"
 #include "radishrelay/sessions/promotion.h"
@@ -28,7 +29,8 @@
 public:
   group_supervisor(base::group_id Group, const engine_options &Options,
                    backend_pool &Pool, store_calls &Store,
-                   fleet_members &Members, event_log &Log);
+                   const store_history &History, fleet_members &Members,
+                   event_log &Log);
 
   /// Updates the members of the group from the instances of all groups that the
   /// platform lists.
@@ -183,6 +185,7 @@
   engine_options Options;
   backend_pool &Pool;
   store_calls &Store;
+  const store_history &History;
   fleet_members &Fleet;
   event_log &Log;
   group_settings Settings;
--- a/packages/sessions/include/radishrelay/sessions/promotion.h
+++ b/packages/sessions/include/radishrelay/sessions/promotion.h
@@ -115,7 +115,9 @@
 ///
 /// One host at a time may do this: it holds the claim, a row in the table store
 /// that is written under a condition on its version. The version of the claim
-/// is the generation number of the order.
+/// is the generation number of the order. A store that is restored from a copy
+/// may lose claims, so a host claims nothing for the lifetime of a claim after
+/// it has first seen a history of the store.
 ///
 /// The caller executes the actions that the functions append.
 class promotion {
@@ -136,6 +138,10 @@
   void setReplicaKnowledge(const replica_knowledge &Value) {
     Knowledge = Value;
   }
+  /// Sets when this host has first seen the present history of the store (see
+  /// base::versionIn). Until claims of earlier histories have expired, nothing
+  /// is claimed, since such claims may be lost.
+  void setHistorySeenAt(base::time_point Value) { HistorySeenAt = Value; }
   /// Reports that \p Member is listed as a member of the group. One that
   /// joined after the start may hold acknowledged commits, so it takes part in
   /// the attempt.
@@ -190,6 +196,9 @@
   [[nodiscard]] bool holdsAllCommits() const;
   void chooseCandidate();
   void order(base::time_point Now, promotion_actions &Actions);
+  /// Whether a claim of another host may have been lost with an earlier history
+  /// of the store.
+  [[nodiscard]] bool mayClaimBeLost(base::time_point Now) const;
   [[nodiscard]] base::row_key claimKey() const;
   [[nodiscard]] std::string claimOwner() const;
 
@@ -208,6 +217,9 @@
   groups::term_number NewTerm = 0;
   std::string Operation;
   std::uint64_t Generation = 0;
+  std::optional<base::time_point> HistorySeenAt;
+  /// History of the store in which the claim was last read.
+  std::uint64_t ReadHistory = 0;
   base::row_version SeenVersion = 0;
   base::time_point SeenAt;
   std::map<base::instance_id, instance_status> Fenced;
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -233,6 +233,10 @@
   supervisor *groupOf(const base::group_id &Group);
   void updateGroups(base::time_point Now);
   void watchStore(base::time_point Now);
+  /// Records the history of the store that \p Version belongs to. Returns true
+  /// and logs \p Fields if it has changed.
+  bool recordHistory(base::row_version Version, base::json Fields,
+                     base::time_point Now);
   /// Logs a change of the store's history, and the first read of \p Source
   /// after failed ones.
   void recordRead(detail::watched_source Source, const read_span &Span,
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -55,10 +55,12 @@
 group_supervisor::group_supervisor(base::group_id Group,
                                    const engine_options &Options,
                                    backend_pool &Pool, store_calls &Store,
+                                   const store_history &History,
                                    fleet_members &Fleet, event_log &Log)
     : Group(std::move(Group)), Options(Options), Pool(Pool), Store(Store),
-      Fleet(Fleet), Log(Log), Leadership(Options.LeaseDuration),
-      Promotion(this->Group, Options), Votes(Options.VoteLifetime) {}
+      History(History), Fleet(Fleet), Log(Log),
+      Leadership(Options.LeaseDuration), Promotion(this->Group, Options),
+      Votes(Options.VoteLifetime) {}
 
 void group_supervisor::setListings(
     const std::map<base::instance_id, instance_listing> &List,
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -164,6 +164,7 @@
   for (const auto &[Instance, Member] : Members)
     Request.Members.push_back({Instance, Member.Listing.Draining});
   promotion_actions Actions;
+  Promotion.setHistorySeenAt(History.firstSeenAt().value_or(Now));
   Promotion.start(Request, Now, Actions);
   if (!Actions.empty()) {
     IsListRequested = true;
@@ -181,12 +182,13 @@
     backend_request Call;
     base::instance_id Instance;
     if (const auto *StoreCall = std::get_if<promotion_store_call>(&Action)) {
-      Store.execute(StoreCall->Request,
-                    [this](const base::store_answer &Answer, auto At) {
-                      promotion_actions Next;
-                      Promotion.storeAnswered(Answer, At, Next);
-                      executeActions(Next, At);
-                    });
+      Store.execute(StoreCall->Request, [this](const base::store_answer &Answer,
+                                               auto At) {
+        promotion_actions Next;
+        Promotion.setHistorySeenAt(History.firstSeenAt().value_or(At));
+        Promotion.storeAnswered(Answer, At, Next);
+        executeActions(Next, At);
+      });
       continue;
     }
     if (const auto *End = std::get_if<promotion_abandoned>(&Action)) {
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -1,8 +1,10 @@
 #include "radishrelay/sessions/promotion.h"
 
 #include "radishrelay/base/json_fields.h"
+#include "radishrelay/base/store_version.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace radishrelay::sessions {
 
@@ -60,7 +62,7 @@
 
 void promotion::start(promotion_request NewRequest, base::time_point Now,
                       promotion_actions &Actions) {
-  if (!isIdle() || Now < NotBefore)
+  if (!isIdle() || Now < NotBefore || mayClaimBeLost(Now))
     return;
   Request = std::move(NewRequest);
   Fenced.clear();
@@ -70,6 +72,10 @@
   readClaim(Now, Actions);
 }
 
+bool promotion::mayClaimBeLost(base::time_point Now) const {
+  return HistorySeenAt && Now < *HistorySeenAt + ClaimPeriod;
+}
+
 void promotion::abandon(std::string_view Reason, base::time_point Now,
                         promotion_actions &Actions) {
   Actions.push_back(promotion_abandoned{std::string(Reason)});
@@ -110,13 +116,19 @@
   const base::table_row *Row =
       Answer.Rows.empty() ? nullptr : &Answer.Rows.front();
   base::row_version Version = Row ? Row->Version : 0;
-  bool IsOwnRepeat = Row && !Operation.empty() &&
+  std::uint64_t ClaimHistory =
+      std::exchange(ReadHistory, base::historyOf(Answer.Version));
+  bool IsOwnRepeat = Row && !Operation.empty() && ClaimHistory == ReadHistory &&
                      base::textField(Row->Value, "operation") == Operation;
   if (IsOwnRepeat) {
     Generation = Version;
     beginFencing(Now, Actions);
     return;
   }
+  if (mayClaimBeLost(Now)) {
+    abandon("the store was restored and may have lost a claim", Now, Actions);
+    return;
+  }
   if (Version != SeenVersion) {
     SeenVersion = Version;
     SeenAt = Now;
@@ -153,7 +165,11 @@
 
 void promotion::onClaimed(const base::store_answer &Answer,
                           base::time_point Now, promotion_actions &Actions) {
-  if (Answer.Outcome == base::store_outcome::Done) {
+  bool IsHistoryChanged = base::historyOf(Answer.Version) != ReadHistory;
+  if (Answer.Outcome == base::store_outcome::Done && IsHistoryChanged) {
+    abandon("the store was restored before the claim was written", Now,
+            Actions);
+  } else if (Answer.Outcome == base::store_outcome::Done) {
     Generation = Answer.Version;
     beginFencing(Now, Actions);
   } else if (Answer.Outcome == base::store_outcome::NotDone) {
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -72,15 +72,21 @@
                        {"after", base::storeNumberOf(Span.After)},
                        {"changed", IsChanged},
                        {"configuration", configurationVersion()}};
+  if (!recordHistory(Span.UpTo, Fields, Now) && Watch.isFailing(Source))
+    Log.stateChange("store read again after failures", Fields);
+}
+
+bool session_engine::recordHistory(base::row_version Version, base::json Fields,
+                                   base::time_point Now) {
   bool IsFirst = !History.firstSeenAt();
   std::uint64_t Before = History.current();
-  if (History.observe(Span.UpTo, Now)) {
-    Fields["before"] = Before;
-    Counters.StoreHistoryChanges += IsFirst ? 0 : 1;
-    Log.stateChange("store history changed", Fields);
-  } else if (Watch.isFailing(Source)) {
-    Log.stateChange("store read again after failures", Fields);
-  }
+  if (!History.observe(Version, Now))
+    return false;
+  Counters.StoreHistoryChanges += IsFirst ? 0 : 1;
+  Fields["history"] = History.current();
+  Fields["before"] = Before;
+  Log.stateChange("store history changed", Fields);
+  return true;
 }
 
 void session_engine::watchStore(base::time_point Now) {
@@ -156,8 +162,8 @@
   for (const auto &[Id, Settings] : Catalog->Groups) {
     auto [Entry, IsNew] = Groups.try_emplace(Id);
     if (IsNew) {
-      Entry->second =
-          std::make_unique<supervisor>(Id, Options, Pool, Store, Members, Log);
+      Entry->second = std::make_unique<supervisor>(Id, Options, Pool, Store,
+                                                   History, Members, Log);
       Entry->second->setListings(List, Now);
       if (IsDraining)
         Entry->second->stopPromoting();
@@ -236,6 +242,8 @@
 void session_engine::storeAnswered(store_call_number Call,
                                    const base::store_answer &Answer,
                                    base::time_point Now) {
+  if (Answer.Outcome == base::store_outcome::Done)
+    recordHistory(Answer.Version, {{"source", "tables"}}, Now);
   Store.answered(Call, Answer, Now);
   if (Members.hostsVersion() != HostsVersion)
     updateGroups(Now);
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -175,6 +175,7 @@
 
 BOOST_AUTO_TEST_CASE(gets_another_primary_without_a_vote) {
   fake_fleet Fleet;
+  Fleet.advanceTime(4500ms); // until claims from before the start have expired
   session_number Session = Fleet.connect("primary");
   Fleet.ask(Session, "write x 1");
   Fleet.instance("r1").Log = Fleet.instance("p").Log;
--- a/packages/sessions/tests/promotion_test.cpp
+++ b/packages/sessions/tests/promotion_test.cpp
@@ -1,3 +1,4 @@
+#include "radishrelay/base/store_version.h"
 #include "radishrelay/sessions/promotion.h"
 
 #include <boost/test/unit_test.hpp>
@@ -96,6 +97,53 @@
   BOOST_TEST(sent<promotion_fence>().size() == 3U);
 }
 
+// A store that was restored from a copy has lost the latest claims, and their
+// owners may still promote.
+BOOST_AUTO_TEST_SUITE(on_a_store_that_was_restored)
+
+BOOST_FIXTURE_TEST_CASE(claims_nothing_until_lost_claims_have_expired,
+                        fixture) {
+  Promotion.setHistorySeenAt(Now);
+  start();
+  BOOST_TEST(sent<promotion_store_call>().empty());
+  advanceBy(4400ms);
+  start();
+  BOOST_TEST(sent<promotion_store_call>().empty());
+  advanceBy(100ms);
+  start();
+  BOOST_TEST(sent<promotion_store_call>().size() == 1U);
+}
+
+// The claim of another host is lost between the read of the row and the write.
+BOOST_FIXTURE_TEST_CASE(counts_no_claim_that_was_written_after_the_restore,
+                        fixture) {
+  start();
+  Promotion.storeAnswered(done(base::versionIn(1, 30)), Now, Actions);
+  Promotion.setHistorySeenAt(Now);
+  Promotion.storeAnswered(done(base::versionIn(2, 21)), Now, Actions);
+  BOOST_TEST(sent<promotion_fence>().empty());
+  BOOST_TEST(sent<promotion_abandoned>().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(counts_no_claim_that_it_finds_there, fixture) {
+  start();
+  Promotion.storeAnswered(done(base::versionIn(1, 30)), Now, Actions);
+  auto Write = std::get<base::store_transaction>(
+      sent<promotion_store_call>().back().Request);
+  base::store_answer Lost;
+  Promotion.storeAnswered(Lost, Now, Actions);
+  Promotion.setHistorySeenAt(Now);
+  base::store_answer Read = done(base::versionIn(2, 25));
+  Read.Rows.push_back({{"promotions", "g"},
+                       base::versionIn(2, 21),
+                       Write.Writes.front().Value});
+  Promotion.storeAnswered(Read, Now, Actions);
+  BOOST_TEST(sent<promotion_fence>().empty());
+  BOOST_TEST(sent<promotion_abandoned>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_CASE(respects_the_claim_of_another_host_until_it_expires,
                         fixture) {
   base::store_answer Others = done(7);
