Use no report of an instance that precedes the last one known

What callers may see: an instance that has announced to leave gets new work until it ends, and the statements that run there then are cut off (DRAIN); an instance that has left counts as a member again, which delays a promotion. Cause: the list as read replaced what was known, also when a restored store showed reports from before. Change: listings carry the number of the report. listing_cache keeps the later report of an instance, and for a minute the last report of one that has left. Evidence: does_not_take_back_that_an_instance_leaves and does_not_show_an_instance_that_has_left failed before.

--- a/packages/sessions/include/radishrelay/sessions/instance_listing.h
+++ b/packages/sessions/include/radishrelay/sessions/instance_listing.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace radishrelay::sessions {
 
@@ -21,6 +22,20 @@
   /// Start time of the instance's process, in Unix milliseconds; a restarted
   /// instance keeps its identifier.
   std::int64_t StartedAt = 0;
+  /// Number of the report since the start of the process; 0 if not known. A
+  /// repeated report with the same content has a higher number.
+  std::uint64_t Sequence = 0;
+
+  /// Whether the instance sent this report before \p Other.
+  [[nodiscard]] bool precedes(const instance_listing &Other) const {
+    return std::tie(StartedAt, Sequence) <
+           std::tie(Other.StartedAt, Other.Sequence);
+  }
+  /// Whether both say the same, apart from the number of the report.
+  [[nodiscard]] bool hasSameContent(instance_listing Other) const {
+    Other.Sequence = Sequence;
+    return *this == Other;
+  }
 
   friend bool operator==(const instance_listing &,
                          const instance_listing &) = default;
--- a/packages/sessions/include/radishrelay/sessions/listing_cache.h
+++ b/packages/sessions/include/radishrelay/sessions/listing_cache.h
@@ -16,6 +16,9 @@
 ///
 /// Entries of live instances return within about two seconds after the store
 /// does; an instance that is still missing then has terminated.
+///
+/// A store that was restored from a copy shows earlier reports of the
+/// instances. A report that precedes the last one known is not used.
 class listing_cache {
 public:
   /// Takes a list that was read from the store. Returns it with the retained
@@ -32,11 +35,22 @@
   dropExpired(base::time_point Now);
 
 private:
+  struct departed_instance {
+    instance_listing Listing;
+    base::time_point KeptUntil;
+  };
+
+  /// Returns \p Listing or the later report that is known; empty if the
+  /// instance has left since.
+  [[nodiscard]] std::optional<instance_listing>
+  newestReport(const instance_listing &Listing) const;
   [[nodiscard]] std::vector<instance_listing> entries() const;
 
   std::map<base::instance_id, instance_listing> Known;
   /// Instances in Known that the last list did not contain.
   std::set<base::instance_id> Retained;
+  /// Last reports of instances that are no longer listed.
+  std::map<base::instance_id, departed_instance> Departed;
   bool HadOutage = false;
   /// Time until which missing entries are retained.
   base::time_point RetainUntil;
--- a/packages/sessions/src/listing_cache.cpp
+++ b/packages/sessions/src/listing_cache.cpp
@@ -7,6 +7,9 @@
 /// Time for which entries are retained after an outage: two seconds for live
 /// instances to report again, and the delay of a report.
 constexpr base::duration RetentionPeriod = std::chrono::milliseconds(2500);
+/// Time for which the last report of an instance that has left is kept; longer
+/// than the age of a copy from which the store may be restored.
+constexpr base::duration LastReportLifetime = std::chrono::seconds(60);
 
 } // namespace
 
@@ -17,22 +20,45 @@
   HadOutage = false;
   std::map<base::instance_id, instance_listing> Current;
   for (instance_listing &Listing : List)
-    Current.emplace(Listing.Instance, std::move(Listing));
+    if (std::optional<instance_listing> Newest = newestReport(Listing))
+      Current.emplace(Listing.Instance, std::move(*Newest));
   Retained.clear();
-  if (Now < RetainUntil)
-    for (const auto &[Instance, Listing] : Known)
-      if (Current.emplace(Instance, Listing).second)
-        Retained.insert(Instance);
+  for (const auto &[Instance, Listing] : Known) {
+    if (Current.contains(Instance))
+      continue;
+    if (Now >= RetainUntil) {
+      Departed[Instance] = {Listing, Now + LastReportLifetime};
+      continue;
+    }
+    Current.emplace(Instance, Listing);
+    Retained.insert(Instance);
+  }
   Known = std::move(Current);
+  std::erase_if(Departed, [&](const auto &Entry) {
+    return Now >= Entry.second.KeptUntil || Known.contains(Entry.first);
+  });
   return entries();
 }
 
+std::optional<instance_listing>
+listing_cache::newestReport(const instance_listing &Listing) const {
+  auto Present = Known.find(Listing.Instance);
+  if (Present != Known.end())
+    return Listing.precedes(Present->second) ? Present->second : Listing;
+  auto Left = Departed.find(Listing.Instance);
+  if (Left != Departed.end() && Listing.precedes(Left->second.Listing))
+    return std::nullopt;
+  return Listing;
+}
+
 std::optional<std::vector<instance_listing>>
 listing_cache::dropExpired(base::time_point Now) {
   if (Retained.empty() || Now < RetainUntil)
     return std::nullopt;
-  for (const base::instance_id &Instance : Retained)
+  for (const base::instance_id &Instance : Retained) {
+    Departed[Instance] = {Known.at(Instance), Now + LastReportLifetime};
     Known.erase(Instance);
+  }
   Retained.clear();
   return entries();
 }
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -126,8 +126,9 @@
       View.DrainingSince = Now;
     if (IsRestarted)
       View.KnownPosition = {};
-    if (!(View.Listing == Listing)) {
-      View.Listing = Listing;
+    bool IsSame = View.Listing.hasSameContent(Listing);
+    View.Listing = Listing;
+    if (!IsSame) {
       Log.stateChange(
           "instance listed",
           {{"instance", Instance.str()},
--- a/packages/sessions/tests/listing_cache_test.cpp
+++ b/packages/sessions/tests/listing_cache_test.cpp
@@ -14,6 +14,15 @@
   return Listing;
 }
 
+instance_listing report(const std::string &Name, std::uint64_t Sequence,
+                        bool Draining, std::int64_t StartedAt = 1) {
+  instance_listing Listing = entry(Name);
+  Listing.Sequence = Sequence;
+  Listing.Draining = Draining;
+  Listing.StartedAt = StartedAt;
+  return Listing;
+}
+
 base::time_point at(base::duration Time) {
   return base::fromMicroseconds(10'000'000) + Time;
 }
@@ -50,6 +59,54 @@
   BOOST_TEST(!Cache.dropExpired(at(7600ms)).has_value());
 }
 
+// A store that was restored from a copy shows earlier reports. An instance that
+// leaves would get new work until it ends.
+BOOST_AUTO_TEST_SUITE(of_a_store_that_was_restored)
+
+BOOST_AUTO_TEST_CASE(does_not_take_back_that_an_instance_leaves) {
+  listing_cache Cache;
+  Cache.merge({report("a", 7, true)}, at(0ms));
+  auto List = Cache.merge({report("a", 4, false)}, at(1000ms));
+  BOOST_REQUIRE(List.size() == 1U);
+  BOOST_TEST(List[0].Draining);
+  BOOST_TEST(Cache.merge({report("a", 8, true)}, at(2000ms))[0].Draining);
+}
+
+BOOST_AUTO_TEST_CASE(shows_the_first_report_of_a_restarted_instance) {
+  listing_cache Cache;
+  Cache.merge({report("a", 7, true)}, at(0ms));
+  BOOST_TEST(!Cache.merge({report("a", 1, false, 2)}, at(1000ms))[0].Draining);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_show_an_instance_that_has_left) {
+  listing_cache Cache;
+  Cache.merge({report("a", 7, true), entry("b")}, at(0ms));
+  Cache.merge({entry("b")}, at(1000ms));
+  BOOST_TEST(
+      Cache.merge({report("a", 4, false), entry("b")}, at(2000ms)).size() ==
+      1U);
+}
+
+// Its entry had expired because it was cut off from the store.
+BOOST_AUTO_TEST_CASE(shows_an_instance_that_reports_again) {
+  listing_cache Cache;
+  Cache.merge({report("a", 7, false), entry("b")}, at(0ms));
+  Cache.merge({entry("b")}, at(1000ms));
+  BOOST_TEST(
+      Cache.merge({report("a", 8, false), entry("b")}, at(2000ms)).size() ==
+      2U);
+}
+
+BOOST_AUTO_TEST_CASE(forgets_instances_that_left_long_ago) {
+  listing_cache Cache;
+  Cache.merge({report("a", 7, false), entry("b")}, at(0ms));
+  Cache.merge({entry("b")}, at(1000ms));
+  Cache.merge({entry("b")}, at(70s));
+  BOOST_TEST(Cache.merge({report("a", 4, false)}, at(71s)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace radishrelay::sessions::tests
