Search schedules in which the store is restored from copies

Change: the simulated store keeps copies and can be restored from one, with versions of another history; its conditions compare the store's numbers alone, as the platform's do. A second search adds one or two restores to each schedule; the schedules of the first one are unchanged.

--- a/packages/sessions/tests/support/simulated_fleet.h
+++ b/packages/sessions/tests/support/simulated_fleet.h
@@ -25,8 +25,12 @@
   Deaf,
   KillHost,
   FreezeHost,
+  /// The store is down and comes back from a copy.
+  RestoreStore,
 };
+/// Number of the kinds that drawFaults draws.
 constexpr std::size_t FaultKindCount = 10;
+constexpr std::size_t AllFaultKindCount = 11;
 
 /// A fault of a schedule.
 struct scheduled_fault {
@@ -34,7 +38,8 @@
   /// Time since the start of the schedule.
   base::duration At{};
   base::duration For{};
-  /// Chooses the instance, failure domain or host.
+  /// Chooses the instance, failure domain or host; the age of a copy in
+  /// seconds.
   std::size_t Target = 0;
 
   friend bool operator==(const scheduled_fault &,
@@ -46,6 +51,8 @@
 /// Draws a schedule whose faults come in series around a few moments, and at
 /// the ends of releases that began before.
 std::vector<scheduled_fault> drawFaults(std::uint64_t Seed);
+/// Draws the same schedule with restores of the store around the same moments.
+std::vector<scheduled_fault> drawFaultsWithRestores(std::uint64_t Seed);
 
 /// Several session engines before one database group, driven in virtual time
 /// through a schedule of faults.
--- a/packages/sessions/tests/support/simulated_store.h
+++ b/packages/sessions/tests/support/simulated_store.h
@@ -8,6 +8,7 @@
 #include "radishrelay/base/store_request.h"
 #include "radishrelay/sessions/fleet_services.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -26,6 +27,11 @@
   /// While it is down, the store answers nothing and takes no report.
   void setDown(bool Value) { IsDown = Value; }
   [[nodiscard]] bool isDown() const { return IsDown; }
+  /// Starts to keep copies for restore.
+  void keepCopies() { KeepsCopies = true; }
+  /// Loses everything since a copy that is at least \p Age old, or since the
+  /// oldest one, and starts another history.
+  void restore(base::duration Age);
   /// Applies a request. The caller delivers the answer.
   base::store_answer execute(const base::store_request &Request);
   [[nodiscard]] instance_reading listing() const;
@@ -45,16 +51,30 @@
     base::time_point ReportedAt;
   };
 
+  /// What the store holds at one moment.
+  struct contents {
+    std::map<base::row_key, base::table_row> Rows;
+    std::map<base::instance_id, entry> Entries;
+    std::uint64_t Version = 1;
+    base::time_point CopiedAt;
+  };
+
   void tick();
+  void takeReports();
+  void copyIfDue();
 
   event_queue &Queue;
   simulated_network &Network;
   simulated_group &Group;
   std::map<base::row_key, base::table_row> Rows;
   std::map<base::instance_id, entry> Entries;
+  /// Number of reports that each instance has sent.
+  std::map<base::instance_id, std::uint64_t> Reports;
   std::uint64_t Version = 1;
   std::uint64_t ListingVersion = 1;
   bool IsDown = false;
+  bool KeepsCopies = false;
+  std::deque<contents> Copies;
 };
 
 } // namespace radishrelay::sessions::tests
