Keep members whose rows a restored store has lost, drop removed ones

What callers may see: shares of a limit add up to more than the limit, since a host whose row is lost still uses its share (QUOTA); or an account is refused below its limit, since a share goes to a host that is gone. Cause: the table of members as read was taken for the present state. A restored store lacks the last renewals and shows rows that were removed. Change: a member whose row was only seen in an earlier history is treated as if its row had not changed, for the lifetime of a member; a row that was removed does not count when it is shown again and is removed once more. A row that is shown in another history without a renewal does not count as renewed. Evidence: beside_a_host_whose_row_a_restored_store_has_lost and although_a_restored_store_shows_a_host_that_was_removed failed before.

--- a/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
@@ -21,6 +21,9 @@
 /// shares of limits earlier, after ShareLifetime, so that the shares in use
 /// never add up to more than the whole limit. A new member does not use its
 /// shares until the other hosts have had time to read its row.
+///
+/// A store that was restored from a copy may lack the row of a host that still
+/// uses its share; the row is treated as if it had not changed.
 class fleet_members {
 public:
   fleet_members(const engine_options &Options, store_calls &Store,
@@ -69,14 +72,27 @@
   [[nodiscard]] base::time_point nextReadAt() const;
   void onRead(const base::store_answer &Answer, base::time_point SentAt,
               base::time_point Now);
+  /// Whether \p Known has the row of a host as it was written last, possibly in
+  /// an earlier history of the store.
+  [[nodiscard]] static bool
+  isSameRow(const std::map<std::string, member> &Known,
+            const base::table_row &Row);
+  /// Adds members to \p Current whose rows a restored store has lost, and
+  /// remembers those that were removed.
+  void recordMissing(std::map<std::string, member> &Current,
+                     std::uint64_t History, base::time_point Now);
   void updateHosts();
   void removeExpired(base::time_point Now);
+  void removeRow(const std::string &Name, base::row_version Version);
 
   engine_options Options;
   store_calls &Store;
   coordination_port &Port;
   event_log &Log;
   std::map<std::string, member> Members;
+  /// Last known rows of hosts that were removed. A restored store may show them
+  /// again.
+  std::map<std::string, member> Removed;
   std::uint64_t HostsVersion = 0;
   base::time_point NextRenewalAt;
   base::time_point RenewalSentAt;
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -2,6 +2,7 @@
 
 #include "radishrelay/base/json_fields.h"
 #include "radishrelay/base/rendezvous.h"
+#include "radishrelay/base/store_version.h"
 
 #include <algorithm>
 
@@ -185,11 +186,16 @@
                      {{"host", Row.Key.Key}, {"version", Row.Version}});
       continue;
     }
-    auto Known = Members.find(Row.Key.Key);
-    if (Known != Members.end() && Known->second.Version == Row.Version)
-      Member.SeenAt = Known->second.SeenAt;
+    if (isSameRow(Removed, Row)) {
+      removeRow(Row.Key.Key, Row.Version);
+      continue;
+    }
+    // A restored store shows rows in another history without a renewal.
+    if (isSameRow(Members, Row))
+      Member.SeenAt = Members.at(Row.Key.Key).SeenAt;
     Current.emplace(Row.Key.Key, std::move(Member));
   }
+  recordMissing(Current, base::historyOf(Answer.Version), Now);
   if (Current.size() != Members.size())
     Log.stateChange("fleet size changed",
                     {{"hosts", Current.size()}, {"before", Members.size()}});
@@ -204,6 +210,30 @@
   removeExpired(Now);
 }
 
+bool fleet_members::isSameRow(const std::map<std::string, member> &Known,
+                              const base::table_row &Row) {
+  auto Entry = Known.find(Row.Key.Key);
+  return Entry != Known.end() && base::storeNumberOf(Entry->second.Version) ==
+                                     base::storeNumberOf(Row.Version);
+}
+
+void fleet_members::recordMissing(std::map<std::string, member> &Current,
+                                  std::uint64_t History, base::time_point Now) {
+  std::erase_if(Removed, [&](const auto &Entry) {
+    return Now >= Entry.second.SeenAt + 2 * Options.MemberLifetime;
+  });
+  for (const auto &[Name, Member] : Members) {
+    if (Current.contains(Name))
+      continue;
+    bool IsLost = base::historyOf(Member.Version) < History &&
+                  Now < Member.SeenAt + Options.MemberLifetime;
+    if (IsLost)
+      Current.emplace(Name, Member);
+    else
+      Removed[Name] = Member;
+  }
+}
+
 void fleet_members::updateHosts() {
   std::string Text;
   for (const auto &[Name, Member] : Members)
@@ -247,17 +277,22 @@
   for (const auto &[Name, Member] : Members) {
     if (Now < Member.SeenAt + Options.MemberLifetime)
       continue;
-    base::store_transaction Transaction;
-    base::row_key Key{MembersTable, Name};
-    Transaction.Conditions.push_back({Key, Member.Version});
-    Transaction.Writes.push_back({Key, nullptr});
-    // Fails if another host has already removed the row; the next read shows
-    // the result.
-    Store.execute(Transaction, [](const auto &, auto) {});
+    removeRow(Name, Member.Version);
     return;
   }
 }
 
+void fleet_members::removeRow(const std::string &Name,
+                              base::row_version Version) {
+  base::store_transaction Transaction;
+  base::row_key Key{MembersTable, Name};
+  Transaction.Conditions.push_back({Key, Version});
+  Transaction.Writes.push_back({Key, nullptr});
+  // Fails if another host has already removed the row; the next read shows the
+  // result.
+  Store.execute(Transaction, [](const auto &, auto) {});
+}
+
 bool fleet_members::holdsShares(base::time_point Now) const {
   return RenewedAt && Now < *RenewedAt + Options.ShareLifetime &&
          Now >= SharesUsableAt;
--- a/packages/sessions/tests/fake_fleet.cpp
+++ b/packages/sessions/tests/fake_fleet.cpp
@@ -1,5 +1,7 @@
 #include "support/fake_fleet.h"
 
+#include "radishrelay/base/store_version.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -365,6 +367,7 @@
     return Answer;
   }
   Answer.Outcome = base::store_outcome::Done;
+  Answer.Version = LastVersion;
   if (const auto *Read = std::get_if<base::read_row>(&Request)) {
     auto Row = Rows.find(Read->Key);
     if (Row != Rows.end())
@@ -394,6 +397,14 @@
   return Answer;
 }
 
+void fake_fleet::restoreStore(std::map<base::row_key, base::table_row> Copy) {
+  std::uint64_t History = base::historyOf(LastVersion) + 1;
+  LastVersion = base::versionIn(History, base::storeNumberOf(LastVersion));
+  Rows = std::move(Copy);
+  for (auto &[Key, Row] : Rows)
+    Row.Version = base::versionIn(History, base::storeNumberOf(Row.Version));
+}
+
 void fake_fleet::execute(store_call_number Call,
                          const base::store_request &Request) {
   PendingTasks.push_back([this, Call, Request] {
--- a/packages/sessions/tests/members_test.cpp
+++ b/packages/sessions/tests/members_test.cpp
@@ -46,6 +46,13 @@
     advanceTime(1ms);
   }
 
+  /// Millionths of the account's limit that h1 holds.
+  std::int64_t share(const std::string &Account) {
+    return engine()
+        .dump()["limits"][Account]["part_millionths"]
+        .get<std::int64_t>();
+  }
+
   std::size_t statusCalls() const {
     return static_cast<std::size_t>(
         std::ranges::count_if(Requests, [](const auto &Sent) {
@@ -103,6 +110,32 @@
   BOOST_TEST(State["limits"]["t1"]["part_millionths"] == 500000);
 }
 
+// Guards against shares that add up to more than the limit: the other host
+// still uses its share until it has renewed its row.
+BOOST_AUTO_TEST_CASE(beside_a_host_whose_row_a_restored_store_has_lost) {
+  two_host_fleet Fleet;
+  auto Copy = Fleet.Rows;
+  Copy.erase({"members", "h2"});
+  Fleet.restoreStore(Copy);
+  Fleet.advanceTime(9000ms);
+  BOOST_TEST(Fleet.share("t1") == 500000);
+  // It has not come back for the lifetime of a member.
+  Fleet.advanceTime(50000ms);
+  BOOST_TEST(Fleet.share("t1") == 1000000);
+}
+
+// Guards against refusals: nobody uses the share of a host that is gone.
+BOOST_AUTO_TEST_CASE(although_a_restored_store_shows_a_host_that_was_removed) {
+  two_host_fleet Fleet;
+  auto Copy = Fleet.Rows;
+  Fleet.advanceTime(60000ms);
+  BOOST_REQUIRE(Fleet.share("t1") == 1000000);
+  Fleet.restoreStore(Copy);
+  Fleet.advanceTime(9000ms);
+  BOOST_TEST(Fleet.share("t1") == 1000000);
+  BOOST_TEST(!Fleet.Rows.contains({"members", "h2"}));
+}
+
 BOOST_AUTO_TEST_CASE(and_removes_hosts_that_have_not_renewed_their_row) {
   two_host_fleet Fleet;
   Fleet.advanceTime(60000ms);
--- a/packages/sessions/tests/support/fake_fleet.h
+++ b/packages/sessions/tests/support/fake_fleet.h
@@ -89,6 +89,8 @@
   /// Instance and generation of each promotion that the engine ordered.
   std::vector<std::pair<base::instance_id, std::uint64_t>> PromotionOrders;
   std::map<base::row_key, base::table_row> Rows;
+  /// Replaces Rows by an earlier copy, in another history of the store.
+  void restoreStore(std::map<base::row_key, base::table_row> Copy);
   bool IsStoreDown = false;
   /// If set, instances reject Prepare and SetValue with this error.
   std::optional<refusal> PreparationError;
