Check in the search that hosts order promotions one at a time

Change: the simulated group breaks a promise when a generation number is below an earlier one, or when two hosts order promotions within 3 s.

--- a/packages/sessions/tests/simulated_group.cpp
+++ b/packages/sessions/tests/simulated_group.cpp
@@ -11,6 +11,9 @@
 constexpr base::duration PromotionTime = 300ms;
 /// An old primary follows the new one this long after it can reach it.
 constexpr base::duration FollowDelay = 1000ms;
+/// Time within which the platform takes the orders of two hosts for those of
+/// two holders of the duty.
+constexpr base::duration DutyPeriod = 3000ms;
 constexpr base::duration TickInterval = 20ms;
 constexpr base::duration StatementTime = 3ms;
 
@@ -298,6 +301,19 @@
                  " was committed and then refused as not run");
 }
 
+void simulated_group::recordOrder(const std::string &Host,
+                                  std::uint64_t Generation) {
+  if (Generation < LastOrder.Generation)
+    recordBroken(Host + " ordered a promotion with a generation number below " +
+                 std::to_string(LastOrder.Generation));
+  bool IsInTurn = !LastOrder.Host.empty() && LastOrder.Host != Host &&
+                  Queue.now() < LastOrder.At + DutyPeriod;
+  if (IsInTurn)
+    recordBroken(Host + " and " + LastOrder.Host +
+                 " ordered promotions at the same time");
+  LastOrder = {Host, Generation, Queue.now()};
+}
+
 bool simulated_group::promote(const base::instance_id &Id) {
   if (!Instances.at(Id).IsRunning)
     return false;
--- a/packages/sessions/tests/simulated_host.cpp
+++ b/packages/sessions/tests/simulated_host.cpp
@@ -213,16 +213,20 @@
 }
 
 void simulated_host::promote(store_call_number Call, const base::group_id &,
-                             const base::instance_id &Instance, std::uint64_t) {
-  World.Queue.scheduleIn(StoreTime, [this, AtRun = Run, Call, Instance] {
-    bool Reaches = World.Network.reaches(Name, simulated_store::Node);
-    bool IsAccepted = Reaches && World.Group.promote(Instance);
-    if (Run == AtRun)
-      deliverIn(
-          Reaches ? StoreTime : StoreCallTimeout, [this, Call, IsAccepted] {
-            Engine->promotionAnswered(Call, IsAccepted, World.Queue.now());
-          });
-  });
+                             const base::instance_id &Instance,
+                             std::uint64_t Generation) {
+  World.Queue.scheduleIn(
+      StoreTime, [this, AtRun = Run, Call, Instance, Generation] {
+        bool Reaches = World.Network.reaches(Name, simulated_store::Node);
+        if (Reaches)
+          World.Group.recordOrder(Name, Generation);
+        bool IsAccepted = Reaches && World.Group.promote(Instance);
+        if (Run == AtRun)
+          deliverIn(
+              Reaches ? StoreTime : StoreCallTimeout, [this, Call, IsAccepted] {
+                Engine->promotionAnswered(Call, IsAccepted, World.Queue.now());
+              });
+      });
 }
 
 void simulated_host::readCatalog(base::duration Wait) {
--- a/packages/sessions/tests/support/simulated_group.h
+++ b/packages/sessions/tests/support/simulated_group.h
@@ -79,6 +79,9 @@
   void endConnection(const std::string &Connection) {
     Transactions.erase(Connection);
   }
+  /// Checks that \p Host orders promotions alone and with a generation number
+  /// that is not below earlier ones.
+  void recordOrder(const std::string &Host, std::uint64_t Generation);
   /// Orders a promotion. Returns false if the instance is not running.
   bool promote(const base::instance_id &Id);
 
@@ -151,6 +154,12 @@
   std::map<base::instance_id, simulated_instance> Instances;
   base::instance_id Leader;
   groups::term_number LeaderTerm = 1;
+  struct promotion_order_record {
+    std::string Host;
+    std::uint64_t Generation = 0;
+    base::time_point At;
+  };
+  promotion_order_record LastOrder;
   std::uint64_t LastInstance = 0;
   std::uint64_t Promotions = 0;
   /// Open transactions by connection, with the write that each has made.
