Adopt the first configuration only when other hosts use nothing newer

What callers may see: right after a host has started, a key that was withdrawn is accepted, or a route that was added is unknown, until the next read shows the newer configuration (CONFIG, "came back older"). Cause: a host that starts took the first configuration that it read for the one in force. While a restored store has not got back what the operators wrote, it is older. Hosts that run keep theirs, since versions never go back in a process. Change: a host that starts asks up to four others, by datagram, for what they know of the store, and adopts once two have replied or 100 ms have passed. If one uses a newer version, the host is not ready and rejects sessions as busy until the store shows that version, for at most 2.5 s. No further call to the store. The cases of engine_start_test fail when the first configuration is adopted as read.

--- a/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace radishrelay::sessions::detail {
 
@@ -35,6 +36,13 @@
   /// Sends \p Report to the other hosts of this failure domain, with the digest
   /// and age of this host's list of members.
   void sendToDomain(watch_report Report, base::time_point Now);
+  /// Sends \p Report to one host, as sendToDomain does.
+  void sendReport(watch_report Report, const std::string &Address,
+                  base::time_point Now);
+  /// Whether the members table has been read.
+  [[nodiscard]] bool isKnown() const { return ReadAt.has_value(); }
+  /// Addresses of up to \p Count other hosts, different ones for each host.
+  [[nodiscard]] std::vector<std::string> someOthers(std::size_t Count) const;
   /// Compares the digest in a watcher's report with the members known here; a
   /// newer, different list triggers a read of the members table.
   void receive(const watch_report &Report, base::time_point Now);
--- a/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
@@ -69,8 +69,15 @@
                          const promotion_vote &) = default;
 };
 
-using peer_message = std::variant<token_request, token_grant, proof_request,
-                                  proof_reply, promotion_vote, watch_report>;
+/// Requests the receiver's watch_report.
+struct report_request {
+  friend bool operator==(const report_request &,
+                         const report_request &) = default;
+};
+
+using peer_message =
+    std::variant<token_request, token_grant, proof_request, proof_reply,
+                 promotion_vote, watch_report, report_request>;
 
 /// A message with the address to which replies are sent.
 struct peer_datagram {
--- a/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
@@ -48,6 +48,8 @@
   /// Returns the report of this host to its failure domain, if this host is a
   /// watcher and a call has succeeded since the last report.
   std::optional<watch_report> takeReport(base::time_point Now);
+  /// What this host knows of the store.
+  [[nodiscard]] watch_report report(base::time_point Now) const;
 
   /// Whether the last call has failed.
   [[nodiscard]] bool isFailing(watched_source Source) const {
--- a/packages/sessions/include/radishrelay/sessions/detail/watched_source.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/watched_source.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace radishrelay::sessions::detail {
@@ -52,6 +53,13 @@
   friend bool operator==(const watch_report &, const watch_report &) = default;
 };
 
+/// The version of the configuration that the sender of \p Report uses, if any.
+inline std::optional<std::uint64_t> catalogVersion(const watch_report &Report) {
+  const source_report &Source =
+      Report.Sources.at(static_cast<std::size_t>(watched_source::Catalog));
+  return Source.IsKnown ? std::optional(Source.ChangedVersion) : std::nullopt;
+}
+
 } // namespace radishrelay::sessions::detail
 
 #endif
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -10,6 +10,7 @@
 #include "radishrelay/sessions/detail/fleet_members.h"
 #include "radishrelay/sessions/detail/group_supervisor.h"
 #include "radishrelay/sessions/detail/session_state.h"
+#include "radishrelay/sessions/detail/starting_catalog.h"
 #include "radishrelay/sessions/detail/store_history.h"
 #include "radishrelay/sessions/detail/store_watch.h"
 #include "radishrelay/sessions/engine_counters.h"
@@ -233,6 +234,8 @@
   supervisor *groupOf(const base::group_id &Group);
   void updateGroups(base::time_point Now);
   void watchStore(base::time_point Now);
+  /// Adopts the first configuration when that is safe; see starting_catalog.
+  void adoptFirstCatalog(base::time_point Now);
   /// Records the history of the store that \p Version belongs to. Returns true
   /// and logs \p Fields if it has changed.
   bool recordHistory(base::row_version Version, base::json Fields,
@@ -254,6 +257,7 @@
   detail::fleet_limits Limits;
   detail::store_watch Watch;
   detail::store_history History;
+  detail::starting_catalog Starting;
   listing_cache Listings;
   /// Version of the set of hosts for which the groups were last updated.
   std::uint64_t HostsVersion = 0;
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -256,11 +256,29 @@
 }
 
 void fleet_members::sendToDomain(watch_report Report, base::time_point Now) {
+  for (const auto &[Name, Member] : Members)
+    if (Member.Domain == Options.Domain.str() && Name != Options.Host.str())
+      sendReport(Report, Member.Address, Now);
+}
+
+void fleet_members::sendReport(watch_report Report, const std::string &Address,
+                               base::time_point Now) {
   Report.HostsDigest = HostsDigest;
   Report.HostsAge = Now - ReadAt.value_or(base::time_point{});
+  send(Report, Address);
+}
+
+std::vector<std::string> fleet_members::someOthers(std::size_t Count) const {
+  std::vector<std::string> Names;
   for (const auto &[Name, Member] : Members)
-    if (Member.Domain == Options.Domain.str() && Name != Options.Host.str())
-      send(Report, Member.Address);
+    if (Name != Options.Host.str())
+      Names.push_back(Name);
+  std::vector<std::string> Result;
+  for (const std::string &Name :
+       base::rendezvousOrder(Options.Host.str(), Names))
+    if (Result.size() < Count)
+      Result.push_back(addressOf(Name));
+  return Result;
 }
 
 void fleet_members::receive(const watch_report &Report, base::time_point Now) {
--- a/packages/sessions/src/peer_message.cpp
+++ b/packages/sessions/src/peer_message.cpp
@@ -15,6 +15,7 @@
 constexpr int ProofReplyKind = 4;
 constexpr int VoteKind = 5;
 constexpr int ReportKind = 6;
+constexpr int ReportRequestKind = 7;
 
 struct packer {
   const std::string &ReplyTo;
@@ -49,6 +50,9 @@
     return json::array({VoteKind, ReplyTo, Vote.Group.str(), Vote.Term,
                         Vote.Host.str(), Vote.Domain.str()});
   }
+  json operator()(const report_request &) const {
+    return json::array({ReportRequestKind, ReplyTo});
+  }
   json operator()(const watch_report &Report) const {
     json Result = json::array(
         {ReportKind, ReplyTo, Report.HostsDigest, Report.HostsAge.count()});
@@ -113,7 +117,8 @@
   constexpr bool Strict = true;
   constexpr bool ThrowErrors = false;
   json Packed = json::from_msgpack(Bytes, Strict, ThrowErrors);
-  if (!Packed.is_array() || Packed.size() < 4)
+  constexpr std::size_t MinSize = 2;
+  if (!Packed.is_array() || Packed.size() < MinSize)
     return std::nullopt;
   try {
     std::string ReplyTo = Packed.at(1).get<std::string>();
@@ -134,6 +139,8 @@
       return peer_datagram{ReplyTo, unpackVote(Packed)};
     case ReportKind:
       return peer_datagram{ReplyTo, unpackReport(Packed)};
+    case ReportRequestKind:
+      return peer_datagram{ReplyTo, report_request{}};
     default:
       return std::nullopt;
     }
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -39,9 +39,12 @@
                     {{"version", Read->Version},
                      {"adopted", Catalog->Version},
                      {"history", base::historyOf(Reading->Span.UpTo)}});
-  if (Read)
+  if (Read && Catalog)
     setCatalog(Read, Now);
-  std::uint64_t Version = Catalog ? Catalog->Version : 0;
+  else if (Read)
+    Starting.read(Read);
+  const catalog_ptr &Newest = Catalog ? Catalog : Starting.newest();
+  std::uint64_t Version = Newest ? Newest->Version : 0;
   Watch.confirmed(detail::watched_source::Catalog, {Version, Version}, Times,
                   Now);
 }
@@ -89,6 +92,26 @@
   return true;
 }
 
+void session_engine::adoptFirstCatalog(base::time_point Now) {
+  if (Catalog || !Starting.newest())
+    return;
+  if (!Starting.hasAsked() && Members.isKnown()) {
+    std::vector<std::string> Others =
+        Members.someOthers(detail::starting_catalog::MaxAsked);
+    Starting.ask(Others, Now);
+    for (const std::string &Address : Others)
+      Members.send(detail::report_request{}, Address);
+  }
+  catalog_ptr Adoptable = Starting.adoptable(Now);
+  if (!Adoptable)
+    return;
+  if (Adoptable->Version < Starting.reportedVersion())
+    Log.stateChange("configuration older than that of other hosts",
+                    {{"version", Adoptable->Version},
+                     {"reported", Starting.reportedVersion()}});
+  setCatalog(Adoptable, Now);
+}
+
 void session_engine::watchStore(base::time_point Now) {
   Watch.setWatcher(Members.isWatcher());
   if (auto Wait = Watch.startCall(detail::watched_source::Catalog, Now))
@@ -282,6 +305,12 @@
                  std::get_if<detail::watch_report>(&Datagram->Message)) {
     Watch.receive(*Report, Now);
     Members.receive(*Report, Now);
+    if (!Catalog)
+      Starting.replied(Datagram->ReplyTo,
+                       detail::catalogVersion(*Report).value_or(0));
+  } else if (std::holds_alternative<detail::report_request>(
+                 Datagram->Message)) {
+    Members.sendReport(Watch.report(Now), Datagram->ReplyTo, Now);
   } else {
     const auto &ProofReply = std::get<detail::proof_reply>(Datagram->Message);
     supervisor *Group = groupOf(ProofReply.Group);
@@ -319,6 +348,7 @@
       Watch.requestRead(detail::watched_source::Instances);
   }
   Members.advance(Now);
+  adoptFirstCatalog(Now);
   watchStore(Now);
   Limits.advance(Now);
   if (Limits.takeUpdate())
@@ -356,6 +386,8 @@
 base::time_point session_engine::nextWake(base::time_point Now) const {
   base::time_point Wake = std::min(
       {NextTrimAt, Members.nextWake(), Limits.nextWake(), Watch.nextWake()});
+  if (!Catalog)
+    Wake = std::min(Wake, Starting.nextWake());
   if (!Wakes.empty())
     Wake = std::min(Wake, Wakes.begin()->first);
   Wake = std::min(Wake, Pool.nextDeadline());
--- a/packages/sessions/src/store_watch.cpp
+++ b/packages/sessions/src/store_watch.cpp
@@ -116,6 +116,10 @@
   if (!IsWatcher || !HasUpdate)
     return std::nullopt;
   HasUpdate = false;
+  return report(Now);
+}
+
+watch_report store_watch::report(base::time_point Now) const {
   watch_report Report;
   for (std::size_t Index = 0; Index < WatchedSources; ++Index) {
     const source &Entry = Sources.at(Index);
--- a/packages/sessions/tests/fake_fleet.cpp
+++ b/packages/sessions/tests/fake_fleet.cpp
@@ -85,19 +85,27 @@
   Configuration.Keys["key-1"] = base::account_id("t1");
   Configuration.Keys["key-2"] = base::account_id("t2");
   Configuration.TransactionIdleTimeout = 3000ms;
+  startHost();
+  // The host is already a member, so its share is in force without delay.
+  Rows[{"members", "h1"}] = {
+      {"members", "h1"}, ++LastVersion, {{"domain", "b"}, {"address", "h1:1"}}};
+  setCatalog(1);
+  publishListings();
+  advanceTime(2000ms);
+}
+
+void fake_fleet::startHost() {
   engine_options Options;
   Options.Host = base::host_id("h1");
   Options.Domain = base::failure_domain_id("b");
   Options.Incarnation = "1";
   Options.PeerAddress = "h1:1";
+  ListDueAt.reset();
+  PendingTasks.clear();
+  Open.clear();
+  Held.clear();
   Engine =
       std::make_unique<session_engine>(Options, *this, *this, *this, *this);
-  // The host is already a member, so its share is in force without delay.
-  Rows[{"members", "h1"}] = {
-      {"members", "h1"}, ++LastVersion, {{"domain", "b"}, {"address", "h1:1"}}};
-  setCatalog(1);
-  publishListings();
-  advanceTime(2000ms);
 }
 
 void fake_fleet::setCatalog(std::uint64_t Version) {
@@ -106,6 +114,14 @@
   settle();
 }
 
+void fake_fleet::readCatalogAs(std::uint64_t Version) {
+  Configuration.Version = Version;
+  Engine->catalogRead(
+      catalog_reading{std::make_shared<catalog>(Configuration), {}}, {Now, 0ms},
+      Now);
+  settle();
+}
+
 void fake_fleet::publishListings() {
   Published.List.clear();
   for (const auto &[Name, Listing] : Listings)
--- a/packages/sessions/tests/support/fake_fleet.h
+++ b/packages/sessions/tests/support/fake_fleet.h
@@ -77,6 +77,10 @@
   void publishListings();
   /// Passes the present configuration to the engine as \p Version.
   void setCatalog(std::uint64_t Version);
+  /// Replaces the engine by one that has just started and has read nothing.
+  void startHost();
+  /// Lets the engine read the present configuration as \p Version.
+  void readCatalogAs(std::uint64_t Version);
 
   session_engine &engine() { return *Engine; }
   fake_instance &instance(const std::string &Name) {
