Bound the use of a leaving primary by the age of its announcement

Cause: the time for which a leaving primary may be used was counted from when the host first read the announcement. Most hosts read it up to an outage of the store later than it was made. Not a matter of restored stores alone, though there the replacement of the primary is deferred too. Change: the time also ends LeavingDuration, less 0.5 s for the statement's way, after the last confirmation of the list without the announcement. A host that has just started and has no such confirmation gives a leaving primary no work.

--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -61,8 +61,10 @@
   /// Adopts \p NewCatalog unless the present one is of the same version or a
   /// newer one.
   void setCatalog(catalog_ptr NewCatalog, base::time_point Now);
+  /// \p ConfirmedAt is the latest time at which the list before this one was
+  /// known to be current.
   void setInstances(const std::vector<instance_listing> &List,
-                    base::time_point Now);
+                    base::time_point ConfirmedAt, base::time_point Now);
   void storeAnswered(store_call_number Call, const base::store_answer &Answer,
                      base::time_point Now);
   void promotionAnswered(store_call_number Call, bool Accepted,
@@ -112,8 +114,9 @@
   /// What this host knows about one instance.
   struct instance_view {
     instance_listing Listing;
-    /// When this host first saw that the instance is shutting down.
-    base::time_point DrainingSince;
+    /// End of the time for which an instance that is shutting down may be given
+    /// new work.
+    base::time_point UsableUntil;
     /// Highest end of the log that the instance has reported.
     groups::log_position KnownPosition;
     /// Until then, the instance gets no read that requires a position above
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -9,6 +9,9 @@
 /// Interval between checks for idle transactions and surplus connections, which
 /// need no exact timing.
 constexpr base::duration TrimInterval = std::chrono::milliseconds(100);
+/// Time from the choice of an instance until the statement reaches it, which
+/// includes opening a connection.
+constexpr base::duration StatementTransferTime = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -58,11 +61,13 @@
   }
   bool IsChanged = Reading->ChangedVersion == Reading->Span.UpTo;
   recordRead(detail::watched_source::Instances, Reading->Span, IsChanged, Now);
+  base::time_point ConfirmedAt =
+      Watch.confirmedAt(detail::watched_source::Instances);
   Watch.confirmed(detail::watched_source::Instances,
                   {Reading->Span.UpTo, Reading->ChangedVersion}, Times, Now);
   if (Watch.hadOutage(detail::watched_source::Instances))
     Listings.recordOutage();
-  setInstances(Listings.merge(Reading->List, Now), Now);
+  setInstances(Listings.merge(Reading->List, Now), ConfirmedAt, Now);
 }
 
 void session_engine::recordRead(detail::watched_source Source,
@@ -121,7 +126,8 @@
   if (auto Report = Watch.takeReport(Now))
     Members.sendToDomain(*Report, Now);
   if (auto Settled = Listings.dropExpired(Now))
-    setInstances(*Settled, Now);
+    setInstances(*Settled, Watch.confirmedAt(detail::watched_source::Instances),
+                 Now);
 }
 
 void session_engine::setCatalog(catalog_ptr NewCatalog, base::time_point Now) {
@@ -138,6 +144,7 @@
 }
 
 void session_engine::setInstances(const std::vector<instance_listing> &List,
+                                  base::time_point ConfirmedAt,
                                   base::time_point Now) {
   std::map<base::instance_id, instance_listing> ById;
   for (const instance_listing &Listing : List)
@@ -146,7 +153,10 @@
     instance_view &View = Instances[Instance];
     bool IsRestarted = View.Listing.StartedAt != Listing.StartedAt;
     if (Listing.Draining && !View.Listing.Draining)
-      View.DrainingSince = Now;
+      // It was announced after the last confirmation, which may be long ago.
+      View.UsableUntil = std::min(Now + Options.LeavingUsePeriod,
+                                  ConfirmedAt + Options.LeavingDuration -
+                                      StatementTransferTime);
     if (IsRestarted)
       View.KnownPosition = {};
     bool IsSame = View.Listing.hasSameContent(Listing);
--- a/packages/sessions/src/session_routing.cpp
+++ b/packages/sessions/src/session_routing.cpp
@@ -172,9 +172,8 @@
   if (!Primary && IsSingleWrite)
     Primary = Group->primaryForWrites();
   auto View = Primary ? Instances.find(*Primary) : Instances.end();
-  bool IsUsable = View != Instances.end() &&
-                  (!View->second.Listing.Draining ||
-                   Now < View->second.DrainingSince + Options.LeavingUsePeriod);
+  bool IsUsable = View != Instances.end() && (!View->second.Listing.Draining ||
+                                              Now < View->second.UsableUntil);
   if (IsUsable && attach(Session, *Primary, Now))
     return;
   base::time_point Limit = waitDeadline(Session, *Group, Now);
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -188,6 +188,38 @@
   BOOST_TEST(Fleet.ask(Session, "read x").Receipt == "receipt:r1");
 }
 
+// Guards against statements that are cut off: the announcement may be as old as
+// the outage, and the instance ends LeavingDuration after it.
+BOOST_AUTO_TEST_CASE(gets_no_new_work_to_it_late_after_an_outage_of_the_store) {
+  fake_fleet Fleet;
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  Fleet.instance("r1").Log = Fleet.instance("p").Log;
+  Fleet.IsStoreDown = true;
+  Fleet.listings().at(base::instance_id("p")).Draining = true;
+  Fleet.publishListings();
+  Fleet.advanceTime(engine_options{}.LeavingDuration);
+  Fleet.restoreStore(Fleet.Rows); // defers the promotion
+  Fleet.IsStoreDown = false;
+  auto IsAnnounced = [&] {
+    return std::ranges::any_of(Fleet.StateChanges, [](const std::string &Line) {
+      return Line.find("\"draining\":true") != std::string::npos;
+    });
+  };
+  for (int Step = 0; Step < 5000 && !IsAnnounced(); ++Step)
+    Fleet.advanceTime(1ms);
+  BOOST_REQUIRE(IsAnnounced());
+  Fleet.advanceTime(100ms);
+  BOOST_REQUIRE(Fleet.PromotionOrders.empty());
+  Fleet.Requests.clear();
+  Fleet.send(Session, "write x 2");
+  Fleet.advanceTime(20ms);
+  BOOST_TEST(std::ranges::none_of(Fleet.Requests, [](const auto &Sent) {
+    return Sent.first == base::instance_id("p") &&
+           Sent.second.Verb == backend_verb::Forward;
+  }));
+}
+
 // Guards against lost commits: the instance that replaces the leaving primary
 // may have started behind the cut and acknowledged commits with it.
 BOOST_AUTO_TEST_CASE(
