Order reports of an instance only if its start times are known

What callers may see: an instance that started again under its identifier is used as it was before, for instance as leaving, if its entry has no start time. Evidence: shows_the_last_report_read_if_start_times_are_missing failed before.

--- a/packages/sessions/include/radishrelay/sessions/instance_listing.h
+++ b/packages/sessions/include/radishrelay/sessions/instance_listing.h
@@ -23,13 +23,14 @@
   /// instance keeps its identifier.
   std::int64_t StartedAt = 0;
   /// Number of the report since the start of the process; 0 if not known. A
-  /// repeated report with the same content has a higher number.
+  /// report that repeats another one has a higher number.
   std::uint64_t Sequence = 0;
 
-  /// Whether the instance sent this report before \p Other.
+  /// Whether the instance is known to have sent this report before \p Other.
   [[nodiscard]] bool precedes(const instance_listing &Other) const {
-    return std::tie(StartedAt, Sequence) <
-           std::tie(Other.StartedAt, Other.Sequence);
+    bool AreStartsKnown = StartedAt != 0 && Other.StartedAt != 0;
+    return AreStartsKnown && std::tie(StartedAt, Sequence) <
+                                 std::tie(Other.StartedAt, Other.Sequence);
   }
   /// Whether both say the same, apart from the number of the report.
   [[nodiscard]] bool hasSameContent(instance_listing Other) const {
--- a/packages/sessions/tests/listing_cache_test.cpp
+++ b/packages/sessions/tests/listing_cache_test.cpp
@@ -78,6 +78,14 @@
   BOOST_TEST(!Cache.merge({report("a", 1, false, 2)}, at(1000ms))[0].Draining);
 }
 
+// Guards against an old entry that stays: a restarted instance counts anew, and
+// without start times the counts cannot be compared.
+BOOST_AUTO_TEST_CASE(shows_the_last_report_read_if_start_times_are_missing) {
+  listing_cache Cache;
+  Cache.merge({report("a", 7, true, 0)}, at(0ms));
+  BOOST_TEST(!Cache.merge({report("a", 1, false, 0)}, at(1000ms))[0].Draining);
+}
+
 BOOST_AUTO_TEST_CASE(does_not_show_an_instance_that_has_left) {
   listing_cache Cache;
   Cache.merge({report("a", 7, true), entry("b")}, at(0ms));
