Ask for the wait of a watcher's call when a call is due

The test continuously_by_a_watcher_that_waits_for_changes asked for a call at 0 ms, when none was due: its fixture confirms the source while the host is not a watcher yet, so the next read is due later. startCall returned an empty optional, which the test dereferenced. What it then compared was undefined; on x86-64 the value happened to lie within the bounds, on arm64 it did not.

The test now asks at ConfirmationLifetime, when a read is due for every host that nothing has confirmed since, requires that a call is due, and then checks the same two bounds. packages/sessions/src is unchanged.

--- a/packages/sessions/tests/store_watch_test.cpp
+++ b/packages/sessions/tests/store_watch_test.cpp
@@ -103,9 +103,10 @@
 BOOST_FIXTURE_TEST_CASE(continuously_by_a_watcher_that_waits_for_changes,
                         informed_host) {
   Watch.setWatcher(true);
-  base::duration Wait = *Watch.startCall(Catalog, at(0ms));
-  BOOST_TEST((Wait > 0ms));
-  BOOST_TEST((Wait < store_watch::ConfirmationLifetime));
+  auto Wait = Watch.startCall(Catalog, at(store_watch::ConfirmationLifetime));
+  BOOST_REQUIRE(Wait.has_value());
+  BOOST_TEST((*Wait > 0ms));
+  BOOST_TEST((*Wait < store_watch::ConfirmationLifetime));
 }
 
 // Guards against a hundred hosts that call at a high rate during an outage; the
