--- a/review/stand-ins/sockets.hh
+++ b/review/stand-ins/sockets.hh
@@ -16,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -41,8 +42,10 @@
   setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
   sockaddr_in Address = loopback(Port);
   if (bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) !=
-      0)
+      0) {
+    close(Socket);
     throw std::runtime_error("cannot bind a loopback port");
+  }
   return Socket;
 }
 
@@ -53,12 +56,20 @@
   return ntohs(Address.sin_port);
 }
 
-/// A port that was free a moment ago.
+/// A port that was free a moment ago. It lies below the ports that the system
+/// gives to connections, which could take it before its process does.
 inline int freePort(int Type = SOCK_STREAM) {
-  int Socket = boundSocket(Type, 0);
-  int Port = portOf(Socket);
-  close(Socket);
-  return Port;
+  static std::mt19937 Random(std::random_device{}());
+  std::uniform_int_distribution<int> Ports(12000, 31999);
+  while (true) {
+    int Port = Ports(Random);
+    try {
+      close(boundSocket(Type, Port));
+      return Port;
+    } catch (const std::runtime_error &) {
+      continue; // in use
+    }
+  }
 }
 
 inline std::string addressOf(int Port) {
