Show stale reads from a replaced primary

Claim: a replica is released from its fence before it follows the new primary, so that it proves the old one again (review/8).

--- a/review/stand-ins-2/deployment.hh
+++ b/review/stand-ins-2/deployment.hh
@@ -32,6 +32,9 @@
     int Services = 1;
     database::options Database;
     int FileDescriptors = 0;
+    /// Addresses at which each daemon finds the instances, if these are not
+    /// those of this deployment; see replicated_database.
+    std::vector<std::string> Views;
   };
 
   deployment(const std::string &Root, const options &Options, record &Record)
@@ -44,8 +47,10 @@
       database::options Of = Options.Database;
       Of.Service = "records" + std::to_string(Index + 1);
       Of.Zones = Zones;
-      Databases[Of.Service] =
-          std::make_unique<database>(Ip, Of, Platform, Record);
+      Services.push_back(Of.Service);
+      if (Options.Views.empty())
+        Databases[Of.Service] =
+            std::make_unique<database>(Ip, Of, Platform, Record);
     }
     for (int Index = 0; Index < Options.Daemons; ++Index) {
       process::options Of;
@@ -55,7 +60,10 @@
       Of.Zone = Zones[static_cast<std::size_t>(Index) % Zones.size()];
       Of.Ip = "127.0.0." + std::to_string(11 + Index);
       Of.PlatformIp = Ip;
-      Of.PlatformPort = Platform.port();
+      auto View = static_cast<std::size_t>(Index);
+      Of.PlatformPort = Options.Views.empty()
+                            ? Platform.port()
+                            : Platform.addView(Ip, Options.Views[View]);
       Of.FileDescriptors = Options.FileDescriptors;
       Daemons.push_back(std::make_unique<process>(Of, Record));
     }
@@ -73,8 +81,8 @@
   /// "filing1", "lookup1" and "queue1", and so on.
   [[nodiscard]] json configuration(int Version, const json &Tenants) const {
     json Routes = json::array();
-    json Services = json::array();
-    for (const auto &[Service, Database] : Databases) {
+    json Listed = json::array();
+    for (const std::string &Service : Services) {
       std::string Number = Service.substr(std::strlen("records"));
       auto Route = [&](const std::string &Name, const std::string &Kind,
                        int TimeoutMs, int TargetMs, int StalenessMs) {
@@ -95,7 +103,7 @@
       Route("filing", "primary", 800, 150, 0);
       Route("lookup", "bounded_staleness", 2000, 500, 1500);
       Route("queue", "read_your_writes", 800, 250, 2500);
-      Services.push_back({{"name", Service},
+      Listed.push_back({{"name", Service},
                           {"healthPath", "/health"},
                           {"connectionLimit", 48},
                           {"protocol", "h1"},
@@ -104,7 +112,7 @@
     }
     return {{"configVersion", Version},
             {"routes", Routes},
-            {"services", Services},
+            {"services", Listed},
             {"limits",
              {{"maxHeaderBytes", 16384},
               {"maxBodyBytes", 262144},
@@ -136,6 +144,7 @@
   static constexpr const char *Ip = "127.0.0.10";
   std::string Folder;
   platform Platform;
+  std::vector<std::string> Services;
   std::map<std::string, std::unique_ptr<database>> Databases;
   std::vector<std::unique_ptr<process>> Daemons;
 
--- a/review/stand-ins-2/platform.hh
+++ b/review/stand-ins-2/platform.hh
@@ -36,11 +36,23 @@
 
   [[nodiscard]] int port() const { return Port; }
 
+  /// Opens another port, whose reader finds the instances at \p InstanceIp: a
+  /// path of its own to each of them.
+  int addView(const std::string &Ip, const std::string &InstanceIp) {
+    int ViewPort = 0;
+    acceptForever(listenOn(Ip, ViewPort), [this, InstanceIp](int Socket) {
+      serve(Socket, InstanceIp);
+    });
+    return ViewPort;
+  }
+
   /// Writes a row as the operator or an instance does; the return is the ack.
   void put(const std::string &Table, const std::string &Key,
            const json &Value) {
     std::lock_guard Lock(Mutex);
     write({Table, "", Key}, toBase64(Value.dump()), ++Version);
+    if (Value.contains("address"))
+      Rows[{Table, "", Key}].Entry = Value;
   }
 
   /// Called for each order to promote an instance of a service.
@@ -53,6 +65,8 @@
     std::uint64_t Version = 0;
     std::string Value;
     bool IsDeleted = false;
+    /// The entry of an instance, as it was written.
+    json Entry;
   };
   struct reply {
     int Status = 200;
@@ -61,11 +75,11 @@
 
   void write(const row_name &Name, const std::string &Value,
              std::uint64_t At) {
-    Rows[Name] = {At, Value, Value.empty()};
+    Rows[Name] = {At, Value, Value.empty(), nullptr};
     Changed.notify_all();
   }
 
-  void serve(int Socket) {
+  void serve(int Socket, const std::string &InstanceIp = "") {
     line_reader Reader(Socket);
     while (true) {
       auto Deadline = clock::now() + 3600s;
@@ -93,7 +107,7 @@
       std::optional<std::string> Body = Reader.block(Length, Deadline);
       if (!Body)
         return;
-      reply Reply = handle(Target, *Body, Holder, Fence);
+      reply Reply = handle(Target, *Body, Holder, Fence, InstanceIp);
       std::string Text = Reply.Body.dump();
       if (!sendAll(Socket,
                    "HTTP/1.1 " + std::to_string(Reply.Status) +
@@ -105,13 +119,14 @@
   }
 
   reply handle(const std::string &Target, const std::string &Body,
-               const std::string &Holder, const std::string &Fence) {
+               const std::string &Holder, const std::string &Fence,
+               const std::string &InstanceIp) {
     std::string Path = Target.substr(0, Target.find('?'));
     std::map<std::string, std::string> Query = queryOf(Target);
     if (Path == "/v1/rows-get")
-      return readRows(Query);
+      return readRows(Query, InstanceIp);
     if (Path == "/v1/rows-feed")
-      return readFeed(Query);
+      return readFeed(Query, InstanceIp);
     if (Path == "/v1/rows-tx")
       return runTransaction(json::parse(Body));
     if (Path == "/promotion") {
@@ -147,7 +162,8 @@
     return Result;
   }
 
-  static json describe(const row_name &Name, const row &Row) {
+  static json describe(const row_name &Name, const row &Row,
+                       const std::string &InstanceIp = "") {
     json Result = {{"tableName", std::get<0>(Name)},
                    {"part", std::get<1>(Name)},
                    {"key", std::get<2>(Name)},
@@ -156,6 +172,12 @@
       Result["deleted"] = true;
     else
       Result["value"] = Row.Value;
+    if (!InstanceIp.empty() && Row.Entry.is_object()) {
+      json Entry = Row.Entry;
+      std::string Address = Entry["address"];
+      Entry["address"] = InstanceIp + Address.substr(Address.find(':'));
+      Result["value"] = toBase64(Entry.dump());
+    }
     return Result;
   }
 
@@ -167,7 +189,8 @@
     return Body;
   }
 
-  reply readRows(std::map<std::string, std::string> &Query) {
+  reply readRows(std::map<std::string, std::string> &Query,
+                 const std::string &InstanceIp) {
     std::lock_guard Lock(Mutex);
     std::size_t Limit = Query.contains("limit") ? std::stoul(Query["limit"])
                                                 : 500;
@@ -181,12 +204,13 @@
       if (IsWanted && Found.size() >= Limit)
         HasMore = true;
       else if (IsWanted)
-        Found.push_back(describe(Name, Row));
+        Found.push_back(describe(Name, Row, InstanceIp));
     }
     return {200, withVersion({{"rows", Found}, {"hasMore", HasMore}})};
   }
 
-  reply readFeed(std::map<std::string, std::string> &Query) {
+  reply readFeed(std::map<std::string, std::string> &Query,
+                 const std::string &InstanceIp) {
     std::unique_lock Lock(Mutex);
     std::uint64_t After = std::stoull(Query["after"]);
     auto Deadline = clock::now() +
@@ -197,7 +221,7 @@
     while (true) {
       for (const auto &[Name, Row] : Rows)
         if (std::get<0>(Name) == Query["tableName"] && Row.Version > After)
-          Changes[Row.Version] = describe(Name, Row);
+          Changes[Row.Version] = describe(Name, Row, InstanceIp);
       if (!Changes.empty() || clock::now() >= Deadline)
         break;
       Changed.wait_until(Lock, Deadline);
