Show writes acknowledged by a replaced primary

Claim: a daemon that starts after a promotion learns of it from no one and takes the old primary into use (review/8). It takes the place of the lesser case on unread answers; the others move behind it.

--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,34 +1,22 @@
-// A primary is partitioned from its replicas and from two of three daemons
-// while one replica receives nothing. The other replica is promoted. The third
-// daemon proves the old primary once more with the replica that has not heard
-// of the promotion, and reads from it what is out of date.
+// A primary is partitioned while one replica receives nothing, and the instance
+// that is promoted crashes. A daemon that starts again afterwards knows nothing
+// of the promotion and takes the old primary into use; what it acknowledges is
+// lost when the new primary comes back with its log.
 #include "replicated.hh"
 
 using namespace review2;
 
 namespace {
 
-/// The replica receives again this long after the promotion; in all it receives
-/// nothing for less than 7 s.
-constexpr auto DeafAfterPromotion = 500ms;
-constexpr auto TrafficBefore = 3s;
-constexpr auto TrafficAfter = 3s;
+constexpr auto CrashAfterPromotion = 300ms;
+constexpr auto CrashLength = 6800ms;
+/// Before the crashed instance is back.
+constexpr auto PartitionEnd = 2600ms;
+constexpr auto Restart = 2500ms;
 
-/// Items whose writes were acknowledged to their clients.
-class acknowledged_items {
-public:
-  void add(const std::string &Item) {
-    std::lock_guard Lock(Mutex);
-    Last = Item;
-  }
-  std::string last() {
-    std::lock_guard Lock(Mutex);
-    return Last;
-  }
-
-private:
-  std::mutex Mutex;
-  std::string Last;
+struct acknowledged_write {
+  std::string Item;
+  clock::time_point SentAt;
 };
 
 verdict play(const std::string &Root, record &Record) {
@@ -53,54 +41,31 @@
     return verdict::NotRun;
   std::this_thread::sleep_for(12s); // the limits of a new daemon
 
-  acknowledged_items Items;
+  std::mutex Mutex;
+  std::vector<acknowledged_write> Acknowledged;
   std::atomic<bool> IsStopping{false};
-  std::atomic<int> Written{0};
-  std::atomic<int> Read{0};
-  std::atomic<int> Stale{0};
   std::vector<std::thread> Threads;
-  auto Run = [&](const std::string &Name, std::size_t Daemon, auto Operate) {
-    Threads.emplace_back([&, Name, Daemon, Operate] {
-      client Client(Name, Record);
+  for (std::size_t Index = 0; Index < 6; ++Index)
+    Threads.emplace_back([&, Index] {
+      client Client("writer " + std::to_string(Index + 1), Record);
       bool IsOpen = false;
       while (!IsStopping) {
         if (!IsOpen)
-          IsOpen = Client.start(*Deployment.Daemons[Daemon], "filing1",
+          IsOpen = Client.start(*Deployment.Daemons[Index % 3], "filing1",
                                 "k-installers");
-        IsOpen = IsOpen && Operate(Client) == 'I';
-        std::this_thread::sleep_for(20ms);
-      }
-    });
-  };
-  for (std::size_t Index = 0; Index < 12; ++Index)
-    Run("writer " + std::to_string(Index + 1), 1 + Index % 2,
-        [&](client &Client) {
+        if (IsOpen) {
           std::string Id = client::nextId();
+          auto SentAt = clock::now();
           answer Answer = Client.query(Id, "WRITE " + Id + " x", 3s);
-          if (Answer.isSuccess()) {
-            Items.add(Id);
-            ++Written;
-          }
-          return Answer.State;
-        });
-  for (std::size_t Index = 0; Index < 4; ++Index)
-    Run("reader " + std::to_string(Index + 1), 0, [&](client &Client) {
-      std::string Item = Items.last();
-      if (Item.empty())
-        return 'I';
-      std::string Id = client::nextId();
-      answer Answer = Client.query(Id, "READ " + Item, 3s);
-      if (!Answer.isSuccess())
-        return Answer.State;
-      ++Read;
-      if (Answer.Rows.empty() || Answer.Rows.front().empty()) {
-        ++Stale;
-        Record.add("script", "STALE: read " + Id + " lacks the write of item " +
-                                 Item + ", acknowledged before it was sent");
+          IsOpen = Answer.State == 'I';
+          std::lock_guard Lock(Mutex);
+          if (Answer.isSuccess())
+            Acknowledged.push_back({Id, SentAt});
+        }
+        std::this_thread::sleep_for(50ms);
       }
-      return Answer.State;
     });
-  std::this_thread::sleep_for(TrafficBefore);
+  std::this_thread::sleep_for(2s);
   if (hasTrouble()) {
     Record.add("script", "the third instance receives nothing");
     Database.change([](auto &Instances) { Instances[2].IsDeaf = true; });
@@ -113,23 +78,67 @@
     auto EndAt = clock::now() + 5500ms;
     while (!Database.promotedAt() && clock::now() < EndAt)
       std::this_thread::sleep_for(1ms);
-    std::this_thread::sleep_for(DeafAfterPromotion);
-    Record.add("script", "the third instance receives again");
-    Database.change([](auto &Instances) { Instances[2].IsDeaf = false; });
+    std::this_thread::sleep_for(CrashAfterPromotion);
+    Record.add("script", "the new primary crashes");
+    std::string New = Database.promoted();
+    auto SetDown = [&](bool Value) {
+      Database.change([&](auto &Instances) {
+        for (auto &Instance : Instances)
+          if (Instance.Id == New)
+            Instance.IsDown = Value;
+      });
+    };
+    SetDown(true);
+    auto BackAt = clock::now() + CrashLength;
+    std::this_thread::sleep_until(BackAt - PartitionEnd);
+    Record.add("script", "the partition and the silence of i-c end");
+    Database.change([&](auto &Instances) {
+      Instances[0].CutViews.clear();
+      Instances[2].IsDeaf = false;
+      Database.IsFirstCut = false;
+    });
+    std::this_thread::sleep_until(BackAt - Restart);
+    process &Daemon = *Deployment.Daemons[1];
+    Record.add(Daemon.name(), "is killed");
+    Daemon.end(SIGKILL);
+    std::this_thread::sleep_for(300ms);
+    Daemon.start();
+    std::this_thread::sleep_until(BackAt);
+    Record.add("script", "the new primary is back");
+    SetDown(false);
   }
-  std::this_thread::sleep_for(TrafficAfter);
+  std::this_thread::sleep_for(6s);
   IsStopping = true;
   for (std::thread &Thread : Threads)
     Thread.join();
+  std::this_thread::sleep_for(1s);
+  std::optional<clock::time_point> PromotedAt = Database.promotedAt();
+  std::set<std::string> Kept;
+  int Term = 0;
+  for (const auto &Instance : Database.instances())
+    if (Instance.IsPrimary && Instance.Term > Term) {
+      Term = Instance.Term;
+      Kept.clear();
+      for (const auto &Commit : Instance.Log)
+        Kept.insert(Commit.Item);
+    }
   Deployment.stop();
-  Record.add("script", "writes acknowledged: " + std::to_string(Written) +
-                           ", reads answered: " + std::to_string(Read) +
-                           ", of these stale: " + std::to_string(Stale));
-  bool HasRun = Written > 20 && Read > 20 &&
-                (!hasTrouble() || Database.promotedAt().has_value());
-  return !HasRun     ? verdict::NotRun
-         : Stale > 0 ? verdict::Broken
-                     : verdict::Held;
+  int Lost = 0;
+  for (const acknowledged_write &Write : Acknowledged)
+    if (!Kept.contains(Write.Item) && PromotedAt && Write.SentAt > *PromotedAt) {
+      ++Lost;
+      Record.add("script", "ONE: write " + Write.Item +
+                               " was sent after the promotion, committed at the "
+                               "old primary and acknowledged; it is lost");
+    }
+  Record.add("script", "writes acknowledged: " +
+                           std::to_string(Acknowledged.size()) + ", lost: " +
+                           std::to_string(Lost));
+  bool HasRun = Acknowledged.size() > 20 &&
+                (!hasTrouble() || PromotedAt.has_value());
+  return !HasRun    ? verdict::NotRun
+         : Lost > 0 ? verdict::Broken
+                    : verdict::Held;
 }
 
 } // namespace
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,74 +1,135 @@
-// Many clients send one write of legal size each at the same time. The process
-// holds all of them at once, several times over.
-#include "guard.hh"
+// A primary is partitioned from its replicas and from two of three daemons
+// while one replica receives nothing. The other replica is promoted. The third
+// daemon proves the old primary once more with the replica that has not heard
+// of the promotion, and reads from it what is out of date.
+#include "replicated.hh"
 
 using namespace review2;
 
 namespace {
 
-/// With its other fields, the message stays under 1 MiB, 1,048,576 bytes.
-constexpr std::size_t DataBytes = 1'000'000;
-/// Without the disruption, the writes are as long as those of the sheet.
-constexpr std::size_t CalmDataBytes = 600;
-/// Two processes together stay under the 296 sessions of the sheet.
-constexpr int SessionsPerProcess = 140;
+/// The replica receives again this long after the promotion; in all it receives
+/// nothing for less than 7 s.
+constexpr auto DeafAfterPromotion = 500ms;
+constexpr auto TrafficBefore = 3s;
+constexpr auto TrafficAfter = 3s;
 
-/// All sessions of a process send their write at once.
-void writeAtOnce(const process &To, const std::string &Data, record &Record) {
-  std::vector<std::unique_ptr<client>> Clients;
-  for (int Index = 0; Index < SessionsPerProcess; ++Index) {
-    Clients.push_back(std::make_unique<client>(
-        To.name() + " client " + std::to_string(Index + 1), Record));
-    if (!Clients.back()->start(To, "filing1", "k-installers"))
-      return;
+/// Items whose writes were acknowledged to their clients.
+class acknowledged_items {
+public:
+  void add(const std::string &Item) {
+    std::lock_guard Lock(Mutex);
+    Last = Item;
   }
-  std::vector<std::thread> Threads;
-  for (auto &Client : Clients)
-    Threads.emplace_back([&Client, &Data] {
-      Client->query("WRITE " + client::nextId() + " " + Data, 3s);
-    });
-  for (std::thread &Thread : Threads)
-    Thread.join();
-}
+  std::string last() {
+    std::lock_guard Lock(Mutex);
+    return Last;
+  }
+
+private:
+  std::mutex Mutex;
+  std::string Last;
+};
 
 verdict play(const std::string &Root, record &Record) {
+  std::vector<std::string> ViewIps = {"127.0.0.21", "127.0.0.22",
+                                      "127.0.0.23"};
   deployment::options Options;
-  Options.Daemons = 2;
-  Options.Database.Work = 6ms;
+  Options.Daemons = 3;
+  Options.Views = ViewIps;
   auto &Deployment = *new deployment(Root, Options, Record);
+  auto &Database =
+      *new replicated_database(ViewIps, Deployment.Platform, Record);
+  Deployment.Platform.OnPromotion = [&](const std::string &,
+                                        const std::string &Id) {
+    return Database.promote(Id);
+  };
   Deployment.Platform.put(
       "op", "config",
       Deployment.configuration(
           7, json::array({deployment::tenant("installers", {"k-installers"},
-                                             1000, 1000)})));
+                                             2000, 2000)})));
   if (!Deployment.start())
     return verdict::NotRun;
   std::this_thread::sleep_for(12s); // the limits of a new daemon
-  std::string Data(hasTrouble() ? DataBytes : CalmDataBytes, 'x');
-  guard Guard(Deployment, Record);
+
+  acknowledged_items Items;
+  std::atomic<bool> IsStopping{false};
+  std::atomic<int> Written{0};
+  std::atomic<int> Read{0};
+  std::atomic<int> Stale{0};
   std::vector<std::thread> Threads;
-  for (std::size_t Index = 0; Index < 2; ++Index)
-    Threads.emplace_back([&, Index] {
-      const process &Process = *Deployment.Daemons[Index];
-      for (int Round = 0; Round < EndsPerProcess; ++Round) {
-        Process.awaitReady(10s);
-        writeAtOnce(Process, Data, Record);
-        std::this_thread::sleep_for(500ms);
+  auto Run = [&](const std::string &Name, std::size_t Daemon, auto Operate) {
+    Threads.emplace_back([&, Name, Daemon, Operate] {
+      client Client(Name, Record);
+      bool IsOpen = false;
+      while (!IsStopping) {
+        if (!IsOpen)
+          IsOpen = Client.start(*Deployment.Daemons[Daemon], "filing1",
+                                "k-installers");
+        IsOpen = IsOpen && Operate(Client) == 'I';
+        std::this_thread::sleep_for(20ms);
+      }
+    });
+  };
+  for (std::size_t Index = 0; Index < 12; ++Index)
+    Run("writer " + std::to_string(Index + 1), 1 + Index % 2,
+        [&](client &Client) {
+          std::string Id = client::nextId();
+          answer Answer = Client.query(Id, "WRITE " + Id + " x", 3s);
+          if (Answer.isSuccess()) {
+            Items.add(Id);
+            ++Written;
+          }
+          return Answer.State;
+        });
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    Run("reader " + std::to_string(Index + 1), 0, [&](client &Client) {
+      std::string Item = Items.last();
+      if (Item.empty())
+        return 'I';
+      std::string Id = client::nextId();
+      answer Answer = Client.query(Id, "READ " + Item, 3s);
+      if (!Answer.isSuccess())
+        return Answer.State;
+      ++Read;
+      if (Answer.Rows.empty() || Answer.Rows.front().empty()) {
+        ++Stale;
+        Record.add("script", "STALE: read " + Id + " lacks the write of item " +
+                                 Item + ", acknowledged before it was sent");
       }
+      return Answer.State;
     });
+  std::this_thread::sleep_for(TrafficBefore);
+  if (hasTrouble()) {
+    Record.add("script", "the third instance receives nothing");
+    Database.change([](auto &Instances) { Instances[2].IsDeaf = true; });
+    std::this_thread::sleep_for(300ms);
+    Record.add("script", "the primary is partitioned");
+    Database.change([&](auto &Instances) {
+      Instances[0].CutViews = {1, 2};
+      Database.IsFirstCut = true;
+    });
+    auto EndAt = clock::now() + 5500ms;
+    while (!Database.promotedAt() && clock::now() < EndAt)
+      std::this_thread::sleep_for(1ms);
+    std::this_thread::sleep_for(DeafAfterPromotion);
+    Record.add("script", "the third instance receives again");
+    Database.change([](auto &Instances) { Instances[2].IsDeaf = false; });
+  }
+  std::this_thread::sleep_for(TrafficAfter);
+  IsStopping = true;
   for (std::thread &Thread : Threads)
     Thread.join();
-  Guard.stop();
-  bool IsBroken = true;
-  for (std::size_t Index = 0; Index < 2; ++Index) {
-    Record.add(Deployment.Daemons[Index]->name(),
-               "ended " + std::to_string(Guard.ends(Index)) +
-                   " times, peak of memory " +
-                   std::to_string(Guard.peak(Index)) + " MB");
-    IsBroken = IsBroken && Guard.ends(Index) >= EndsPerProcess;
-  }
   Deployment.stop();
-  return IsBroken ? verdict::Broken : verdict::Held;
+  Record.add("script", "writes acknowledged: " + std::to_string(Written) +
+                           ", reads answered: " + std::to_string(Read) +
+                           ", of these stale: " + std::to_string(Stale));
+  bool HasRun = Written > 20 && Read > 20 &&
+                (!hasTrouble() || Database.promotedAt().has_value());
+  return !HasRun     ? verdict::NotRun
+         : Stale > 0 ? verdict::Broken
+                     : verdict::Held;
 }
 
 } // namespace
--- a/review/stand-ins-2/platform.hh
+++ b/review/stand-ins-2/platform.hh
@@ -55,6 +55,12 @@
       Rows[{Table, "", Key}].Entry = Value;
   }
 
+  /// The entry of an instance that is silent expires.
+  void remove(const std::string &Table, const std::string &Key) {
+    std::lock_guard Lock(Mutex);
+    write({Table, "", Key}, "", ++Version);
+  }
+
   /// Called for each order to promote an instance of a service.
   std::function<bool(const std::string &Service, const std::string &Id)>
       OnPromotion;
--- a/review/stand-ins-2/replicated.hh
+++ b/review/stand-ins-2/replicated.hh
@@ -30,6 +30,11 @@
     std::vector<commit> Log;
     /// Views of the platform, and so daemons, that are cut off from it.
     std::set<std::size_t> CutViews;
+    /// A crashed instance is dark and comes back with its log.
+    bool IsDown = false;
+    int MissedCheckIns = 0;
+    /// Since when it reaches a primary of a later term.
+    std::optional<clock::time_point> ReplacedSince;
   };
   static constexpr int Slots = 3;
   static constexpr auto PromotionTime = 300ms;
@@ -58,6 +63,12 @@
         std::this_thread::sleep_for(1200ms);
       }
     }).detach();
+    std::thread([this] {
+      while (true) {
+        stepDown();
+        std::this_thread::sleep_for(20ms);
+      }
+    }).detach();
   }
 
   /// The platform has accepted an order: the instance leads some hundred
@@ -115,10 +126,40 @@
     checkIn(Instance);
   }
 
-  void checkIn(const instance &Instance) {
+  /// A replaced primary becomes a replica a second after it can reach the new
+  /// primary.
+  void stepDown() {
+    std::lock_guard Lock(Mutex);
+    for (instance &Old : Instances) {
+      bool IsReplaced = false;
+      for (const instance &New : Instances)
+        IsReplaced = IsReplaced || (Old.IsPrimary && New.IsPrimary &&
+                                    New.Term > Old.Term &&
+                                    areConnected(Old, New));
+      if (!IsReplaced)
+        Old.ReplacedSince.reset();
+      else if (!Old.ReplacedSince)
+        Old.ReplacedSince = clock::now();
+      else if (clock::now() >= *Old.ReplacedSince + 1s) {
+        Old.IsPrimary = false;
+        Record.add(Old.Id, "was replaced and becomes a replica");
+      }
+    }
+    replicate();
+  }
+
+  void checkIn(instance &Instance) {
     json Entry;
     {
       std::lock_guard Lock(Mutex);
+      if (Instance.IsDown) {
+        if (++Instance.MissedCheckIns == 3) {
+          Record.add(Instance.Id, "is no longer listed");
+          Platform.remove("servers", Instance.Id);
+        }
+        return;
+      }
+      Instance.MissedCheckIns = 0;
       Entry = {{"service", "records1"},
                {"address", "127.0.0.1:" + std::to_string(Instance.Port)},
                {"zone", Instance.Zone},
@@ -141,7 +182,7 @@
   [[nodiscard]] bool areConnected(const instance &One,
                                   const instance &Other) const {
     bool IsFirst = &One == &Instances[0] || &Other == &Instances[0];
-    return !(IsFirst && IsFirstCut);
+    return !(IsFirst && IsFirstCut) && !One.IsDown && !Other.IsDown;
   }
 
   /// Replicas take over the log of the primary of the highest term that they
@@ -185,8 +226,11 @@
       {
         // Bytes on a cut path are lost, since their sender gives up.
         std::unique_lock Lock(Mutex);
-        if (Instance.CutViews.contains(View)) {
-          Changed.wait(Lock, [&] { return !Instance.CutViews.contains(View); });
+        auto IsCut = [&] {
+          return Instance.IsDown || Instance.CutViews.contains(View);
+        };
+        if (IsCut()) {
+          Changed.wait(Lock, [&] { return !IsCut(); });
           return;
         }
       }
@@ -285,7 +329,7 @@
     replicate();
     while (!isConfirmed(Instance, Size)) {
       Changed.wait_for(Lock, 5ms);
-      if (isClosed(Socket))
+      if (isClosed(Socket) || Instance.IsDown)
         return "";
       if (!Instance.IsPrimary || Instance.Term != Term)
         return RefuseWith("FAILED");
