--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -20,8 +20,7 @@
 };
 
 verdict play(const std::string &Root, record &Record) {
-  std::vector<std::string> ViewIps = {"127.0.0.21", "127.0.0.22",
-                                      "127.0.0.23"};
+  std::vector<std::string> ViewIps = {"127.0.0.21", "127.0.0.22", "127.0.0.23"};
   deployment::options Options;
   Options.Daemons = 3;
   Options.Views = ViewIps;
@@ -125,20 +124,20 @@
   Deployment.stop();
   int Lost = 0;
   for (const acknowledged_write &Write : Acknowledged)
-    if (!Kept.contains(Write.Item) && PromotedAt && Write.SentAt > *PromotedAt) {
+    if (!Kept.contains(Write.Item) && PromotedAt &&
+        Write.SentAt > *PromotedAt) {
       ++Lost;
-      Record.add("script", "ONE: write " + Write.Item +
-                               " was sent after the promotion, committed at the "
-                               "old primary and acknowledged; it is lost");
+      Record.add("script",
+                 "ONE: write " + Write.Item +
+                     " was sent after the promotion, committed at the "
+                     "old primary and acknowledged; it is lost");
     }
-  Record.add("script", "writes acknowledged: " +
-                           std::to_string(Acknowledged.size()) + ", lost: " +
-                           std::to_string(Lost));
-  bool HasRun = Acknowledged.size() > 20 &&
-                (!hasTrouble() || PromotedAt.has_value());
-  return !HasRun    ? verdict::NotRun
-         : Lost > 0 ? verdict::Broken
-                    : verdict::Held;
+  Record.add("script",
+             "writes acknowledged: " + std::to_string(Acknowledged.size()) +
+                 ", lost: " + std::to_string(Lost));
+  bool HasRun =
+      Acknowledged.size() > 20 && (!hasTrouble() || PromotedAt.has_value());
+  return !HasRun ? verdict::NotRun : Lost > 0 ? verdict::Broken : verdict::Held;
 }
 
 } // namespace
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -32,8 +32,7 @@
 };
 
 verdict play(const std::string &Root, record &Record) {
-  std::vector<std::string> ViewIps = {"127.0.0.21", "127.0.0.22",
-                                      "127.0.0.23"};
+  std::vector<std::string> ViewIps = {"127.0.0.21", "127.0.0.22", "127.0.0.23"};
   deployment::options Options;
   Options.Daemons = 3;
   Options.Views = ViewIps;
--- a/review/stand-ins-2/base.hh
+++ b/review/stand-ins-2/base.hh
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -71,16 +72,25 @@
   return Socket;
 }
 
-/// Returns a port that was free a moment ago.
+/// Returns a port that was free a moment ago, below those of outgoing
+/// connections.
 inline int freePort(const std::string &Ip, int Type = SOCK_STREAM) {
-  int Socket = socket(AF_INET, Type | SOCK_CLOEXEC, 0);
-  sockaddr_in Address = addressOf(Ip, 0);
-  socklen_t Size = sizeof(Address);
-  if (bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) != 0)
-    throw std::runtime_error("no free port on " + Ip);
-  getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
-  close(Socket);
-  return ntohs(Address.sin_port);
+  static std::mt19937 Random{std::random_device{}()};
+  constexpr int MinPort = 12'000;
+  constexpr int MaxPort = 31'000;
+  constexpr int Tries = 1000;
+  std::uniform_int_distribution<int> Ports(MinPort, MaxPort);
+  for (int Try = 0; Try < Tries; ++Try) {
+    int Port = Ports(Random);
+    int Socket = socket(AF_INET, Type | SOCK_CLOEXEC, 0);
+    sockaddr_in Address = addressOf(Ip, Port);
+    int Result =
+        bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+    close(Socket);
+    if (Result == 0)
+      return Port;
+  }
+  throw std::runtime_error("no free port on " + Ip);
 }
 
 inline int connectTo(const std::string &Ip, int Port) {
@@ -132,12 +142,12 @@
 
 private:
   bool fill(clock::time_point Deadline) {
-    auto Left = std::chrono::ceil<std::chrono::milliseconds>(Deadline -
-                                                             clock::now());
+    auto Left =
+        std::chrono::ceil<std::chrono::milliseconds>(Deadline - clock::now());
     pollfd Watched{Socket, POLLIN, 0};
     if (Left.count() < 0 ||
-        poll(&Watched, 1, static_cast<int>(std::min<long>(Left.count(),
-                                                          3'600'000))) <= 0)
+        poll(&Watched, 1,
+             static_cast<int>(std::min<long>(Left.count(), 3'600'000))) <= 0)
       return false;
     char Buffer[65536];
     ssize_t Count = recv(Socket, Buffer, sizeof(Buffer), 0);
--- a/review/stand-ins-2/database.hh
+++ b/review/stand-ins-2/database.hh
@@ -36,16 +36,15 @@
       : Options(std::move(NewOptions)), Platform(Platform), Record(Record) {
     for (const std::string &Zone : Options.Zones) {
       auto Instance = std::make_unique<instance>(Options.Slots);
-      Instance->Id = "i-" + Options.Service + "-" +
-                     std::to_string(Instances.size() + 1);
+      Instance->Id =
+          "i-" + Options.Service + "-" + std::to_string(Instances.size() + 1);
       Instance->Zone = Zone;
       int Listener = listenOn(Ip, Instance->Port);
       Instance->Address = Ip + ":" + std::to_string(Instance->Port);
       Instances.push_back(std::move(Instance));
       auto *Served = Instances.back().get();
-      acceptForever(Listener, [this, Served](int Socket) {
-        serve(*Served, Socket);
-      });
+      acceptForever(Listener,
+                    [this, Served](int Socket) { serve(*Served, Socket); });
     }
     std::thread([this] {
       while (true) {
@@ -151,8 +150,7 @@
     --Instance.Connections;
   }
 
-  std::string answer(instance &Instance, session &Session,
-                     std::string Fields) {
+  std::string answer(instance &Instance, session &Session, std::string Fields) {
     std::string Id = takeField(Fields);
     std::string Text = Fields;
     std::string Rest = Fields;
@@ -174,8 +172,7 @@
   }
 
   std::string run(instance &Instance, session &Session, const std::string &Id,
-                  const std::string &Text, std::string Verb,
-                  std::string Rest) {
+                  const std::string &Text, std::string Verb, std::string Rest) {
     std::lock_guard Lock(Mutex);
     bool IsPrimary = Instances[Primary].get() == &Instance;
     auto Whole = [&](const std::string &Lines) {
--- a/review/stand-ins-2/deployment.hh
+++ b/review/stand-ins-2/deployment.hh
@@ -104,11 +104,11 @@
       Route("lookup", "bounded_staleness", 2000, 500, 1500);
       Route("queue", "read_your_writes", 800, 250, 2500);
       Listed.push_back({{"name", Service},
-                          {"healthPath", "/health"},
-                          {"connectionLimit", 48},
-                          {"protocol", "h1"},
-                          {"tls", false},
-                          {"syncReplicas", 1}});
+                        {"healthPath", "/health"},
+                        {"connectionLimit", 48},
+                        {"protocol", "h1"},
+                        {"tls", false},
+                        {"syncReplicas", 1}});
     }
     return {{"configVersion", Version},
             {"routes", Routes},
--- a/review/stand-ins-2/guard.hh
+++ b/review/stand-ins-2/guard.hh
@@ -16,8 +16,8 @@
 class guard {
 public:
   guard(deployment &Deployment, record &Record)
-      : Deployment(Deployment), Record(Record),
-        Ends(Deployment.Daemons.size()), Peaks(Deployment.Daemons.size()) {
+      : Deployment(Deployment), Record(Record), Ends(Deployment.Daemons.size()),
+        Peaks(Deployment.Daemons.size()) {
     for (std::size_t Index = 0; Index < Ends.size(); ++Index)
       Threads.emplace_back([this, Index] {
         while (!IsStopping) {
@@ -42,8 +42,8 @@
     Peaks[Index] = std::max(Peaks[Index], Memory);
     bool IsOver = Memory > MemoryMb;
     if (IsOver) {
-      Record.add(Daemon.name(), "uses " + std::to_string(Memory) +
-                                    " MB of 182, killed");
+      Record.add(Daemon.name(),
+                 "uses " + std::to_string(Memory) + " MB of 182, killed");
       Daemon.end(SIGKILL);
     }
     if (!IsOver && !Daemon.hasEnded())
--- a/review/stand-ins-2/platform.hh
+++ b/review/stand-ins-2/platform.hh
@@ -79,8 +79,7 @@
     json Body = json::object();
   };
 
-  void write(const row_name &Name, const std::string &Value,
-             std::uint64_t At) {
+  void write(const row_name &Name, const std::string &Value, std::uint64_t At) {
     Rows[Name] = {At, Value, Value.empty(), nullptr};
     Changed.notify_all();
   }
@@ -137,17 +136,16 @@
       return runTransaction(json::parse(Body));
     if (Path == "/promotion") {
       json Order = json::parse(Body);
-      Record.add("platform", "promotion " + Body + " holder " + Holder +
-                                 " fence " + Fence);
-      bool IsDone = OnPromotion && OnPromotion(Order.at("service"),
-                                               Order.at("id"));
+      Record.add("platform",
+                 "promotion " + Body + " holder " + Holder + " fence " + Fence);
+      bool IsDone =
+          OnPromotion && OnPromotion(Order.at("service"), Order.at("id"));
       return {IsDone ? 200 : 409, json::object()};
     }
     return {404, json::object()};
   }
 
-  static std::map<std::string, std::string>
-  queryOf(const std::string &Target) {
+  static std::map<std::string, std::string> queryOf(const std::string &Target) {
     std::map<std::string, std::string> Result;
     std::size_t At = Target.find('?');
     while (At != std::string::npos && At + 1 < Target.size()) {
@@ -157,8 +155,8 @@
       std::string Value;
       for (std::size_t Index = Equals + 1; Index < Pair.size(); ++Index) {
         bool IsCode = Pair[Index] == '%' && Index + 2 < Pair.size();
-        Value += IsCode ? static_cast<char>(std::stoi(
-                              Pair.substr(Index + 1, 2), nullptr, 16))
+        Value += IsCode ? static_cast<char>(
+                              std::stoi(Pair.substr(Index + 1, 2), nullptr, 16))
                         : Pair[Index];
         Index += IsCode ? 2 : 0;
       }
@@ -198,8 +196,8 @@
   reply readRows(std::map<std::string, std::string> &Query,
                  const std::string &InstanceIp) {
     std::lock_guard Lock(Mutex);
-    std::size_t Limit = Query.contains("limit") ? std::stoul(Query["limit"])
-                                                : 500;
+    std::size_t Limit =
+        Query.contains("limit") ? std::stoul(Query["limit"]) : 500;
     json Found = json::array();
     bool HasMore = false;
     for (const auto &[Name, Row] : Rows) {
@@ -219,8 +217,8 @@
                  const std::string &InstanceIp) {
     std::unique_lock Lock(Mutex);
     std::uint64_t After = std::stoull(Query["after"]);
-    auto Deadline = clock::now() +
-                    std::chrono::milliseconds(std::stoi(Query["waitMs"]));
+    auto Deadline =
+        clock::now() + std::chrono::milliseconds(std::stoi(Query["waitMs"]));
     if (After > Version)
       return {410, json::object()};
     std::map<std::uint64_t, json> Changes;
@@ -241,8 +239,7 @@
   reply runTransaction(const json &Transaction) {
     std::lock_guard Lock(Mutex);
     auto NameOf = [](const json &Entry) {
-      return row_name(Entry.at("tableName"), Entry.at("part"),
-                      Entry.at("key"));
+      return row_name(Entry.at("tableName"), Entry.at("part"), Entry.at("key"));
     };
     json Current = json::array();
     bool IsConflict = false;
--- a/review/stand-ins-2/process.hh
+++ b/review/stand-ins-2/process.hh
@@ -66,8 +66,9 @@
       }
       if (Tag.front() != '#') {
         const json *Value = find(Tag, Scope);
-        Result += !Value ? "" : Value->is_string() ? Value->get<std::string>()
-                                                   : Value->dump();
+        Result += !Value               ? ""
+                  : Value->is_string() ? Value->get<std::string>()
+                                       : Value->dump();
         continue;
       }
       std::string Name = Tag.substr(1);
@@ -145,8 +146,7 @@
   process &operator=(const process &) = delete;
 
   void start() {
-    std::string Program =
-        Options.Root + "/target/packages/daemon/radishrelayd";
+    std::string Program = Options.Root + "/target/packages/daemon/radishrelayd";
     if (access(Program.c_str(), X_OK) != 0)
       throw std::runtime_error("not built: " + Program);
     pid_t Started = fork();
@@ -184,8 +184,8 @@
     int Status = 0;
     if (Process <= 0 || waitpid(Process, &Status, WNOHANG) != Process)
       return false;
-    Record.add(Options.Name, "ended by itself, status " +
-                                 std::to_string(Status));
+    Record.add(Options.Name,
+               "ended by itself, status " + std::to_string(Status));
     Process = -1;
     return true;
   }
--- a/review/stand-ins-2/replicated.hh
+++ b/review/stand-ins-2/replicated.hh
@@ -133,9 +133,9 @@
     for (instance &Old : Instances) {
       bool IsReplaced = false;
       for (const instance &New : Instances)
-        IsReplaced = IsReplaced || (Old.IsPrimary && New.IsPrimary &&
-                                    New.Term > Old.Term &&
-                                    areConnected(Old, New));
+        IsReplaced =
+            IsReplaced || (Old.IsPrimary && New.IsPrimary &&
+                           New.Term > Old.Term && areConnected(Old, New));
       if (!IsReplaced)
         Old.ReplacedSince.reset();
       else if (!Old.ReplacedSince)
