Believe the term that a claim shows before promoting

Callers could be told of commits that a promotion then lost or rolled back. Cause: a host that had not heard of term 3 read a claim that showed it, and still promoted from term 2. It fenced the replicas for term 3, which keeps nobody from receiving the log of the primary that leads term 3.

The claim now carries the highest term that an announced order may have led to, across later claims. A claim of a known later term ends the attempt, and the host learns the term. Members are fenced above every announced term.

Tests: and_is_not_taken_on_an_earlier_term, and_fences_above_an_order_that_may_have_taken_effect.

--- a/packages/sessions/include/radishrelay/sessions/group_leadership.h
+++ b/packages/sessions/include/radishrelay/sessions/group_leadership.h
@@ -13,6 +13,16 @@
 
 namespace radishrelay::sessions {
 
+/// What the claim of a group says about its terms.
+struct claim_view {
+  /// Highest term that an announced order may have led to.
+  groups::term_number AnnouncedTerm = 0;
+  /// Whether a host may be about to announce a later term.
+  bool IsAttemptInProgress = false;
+
+  friend bool operator==(const claim_view &, const claim_view &) = default;
+};
+
 /// Tracks what this host can prove about the primary of one database group.
 ///
 /// A promotion first fences all instances but one, then waits for the lease
@@ -41,6 +51,8 @@
   /// Records the answer of \p Instance to a status call sent at \p SentAt.
   void recordStatus(const base::instance_id &Instance,
                     const instance_status &Status, base::time_point SentAt);
+  /// Records that a promotion to \p LedTerm has taken effect.
+  void recordTerm(groups::term_number LedTerm);
   /// Records that another host proved \p Instance at \p ProvedAt.
   void recordProof(const base::instance_id &Instance,
                    groups::term_number NewTerm, base::time_point ProvedAt);
--- a/packages/sessions/include/radishrelay/sessions/promotion.h
+++ b/packages/sessions/include/radishrelay/sessions/promotion.h
@@ -6,6 +6,7 @@
 #include "radishrelay/base/random_generator.h"
 #include "radishrelay/base/store_answer.h"
 #include "radishrelay/sessions/engine_options.h"
+#include "radishrelay/sessions/group_leadership.h"
 #include "radishrelay/sessions/instance_status.h"
 #include "radishrelay/sessions/order_outcome.h"
 
@@ -116,6 +117,13 @@
                          const replica_knowledge &) = default;
 };
 
+/// Row in which the hosts claim the promotions of \p Group.
+base::row_key promotionClaimKey(const base::group_id &Group);
+/// What \p Claim, which is null if there is none, says about the terms.
+claim_view viewOf(const base::json &Claim);
+/// Term that a promotion is known to lead, according to \p Claim; 0 if none.
+groups::term_number ledTermOf(const base::json &Claim);
+
 /// State machine that replaces the primary of one database group.
 ///
 /// Each acknowledged commit is in the log of the primary and was received by a
@@ -139,6 +147,10 @@
 /// may lose claims, so a host claims nothing for the lifetime of a claim after
 /// it has first seen a history of the store.
 ///
+/// The claim also carries the highest term that an announced order may have led
+/// to, beyond the claims that follow it. Hosts read it to confirm a lease, see
+/// group_leadership.
+///
 /// The caller executes the actions that the functions append.
 class promotion {
 public:
@@ -182,6 +194,8 @@
     return Stage == promotion_stage::Ordering ||
            Stage == promotion_stage::Confirming;
   }
+  /// Highest term that a claim has shown to be led, 0 if none has.
+  [[nodiscard]] groups::term_number ledTerm() const { return LedTerm; }
   [[nodiscard]] base::time_point nextWake() const;
   [[nodiscard]] base::json dump() const;
 
@@ -253,7 +267,6 @@
   /// Whether a claim of another host may have been lost with an earlier history
   /// of the store.
   [[nodiscard]] bool mayClaimBeLost(base::time_point Now) const;
-  [[nodiscard]] base::row_key claimKey() const;
   [[nodiscard]] std::string claimOwner() const;
 
   base::group_id Group;
@@ -279,7 +292,8 @@
   /// Store call whose answer this stage waits for.
   std::optional<std::uint64_t> OpenCall;
   promotion_request Request;
-  groups::term_number NewTerm = 0;
+  /// Term for which the members are fenced: above all that may be led.
+  groups::term_number FenceTerm = 0;
   std::string Operation;
   /// Version of the claim as it was first written.
   std::uint64_t Generation = 0;
@@ -290,6 +304,12 @@
   std::uint64_t ReadHistory = 0;
   base::row_version SeenVersion = 0;
   base::time_point SeenAt;
+  /// Highest term that a claim has shown to be led.
+  groups::term_number LedTerm = 0;
+  /// Highest term that announced orders may lead to, and the same without the
+  /// order of this attempt.
+  groups::term_number AnnouncedTerm = 0;
+  groups::term_number EarlierAnnouncedTerm = 0;
   std::map<base::instance_id, instance_status> Fenced;
   /// Time at which enough members were fenced.
   std::optional<base::time_point> FencedAt;
--- a/packages/sessions/src/group_leadership.cpp
+++ b/packages/sessions/src/group_leadership.cpp
@@ -22,6 +22,10 @@
   });
 }
 
+void group_leadership::recordTerm(groups::term_number LedTerm) {
+  HighestTerm = std::max(HighestTerm, LedTerm);
+}
+
 void group_leadership::recordCommit(const base::instance_id &Instance,
                                     groups::log_position Position,
                                     base::time_point SentAt) {
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -198,6 +198,7 @@
             promotion_stage Before = Promotion.stage();
             Promotion.setHistorySeenAt(History.firstSeenAt().value_or(At));
             Promotion.storeAnswered(Number, Answer, At, Next);
+            Leadership.recordTerm(Promotion.ledTerm());
             bool IsClaimed = Before < promotion_stage::Fencing &&
                              Promotion.stage() == promotion_stage::Fencing;
             if (IsClaimed) {
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -64,6 +64,8 @@
         IsClaimHeld)
       Actions.push_back(promotion_unfence{Instance});
   bool IsAnnounced = OrderDeadline != base::time_point{};
+  if (!MayTakeEffect)
+    AnnouncedTerm = EarlierAnnouncedTerm;
   if (IsAnnounced && !IsOrderOpen)
     writeClaim(claim_state::Open, Actions);
   NotBefore = Now + RetryDelay +
@@ -79,7 +81,9 @@
 }
 
 void promotion::beginFencing(base::time_point Now, promotion_actions &Actions) {
-  NewTerm = Request.Term + 1;
+  // An announced order that has taken effect unseen leads the announced term,
+  // and a fence for that term would not hold against its primary.
+  FenceTerm = std::max(Request.Term, EarlierAnnouncedTerm) + 1;
   FencedAt.reset();
   IsPrimaryDemoted = false;
   if (Request.IsPrimaryReachable && isMember(Request.OldPrimary)) {
@@ -94,7 +98,7 @@
 void promotion::fence(const base::instance_id &Instance,
                       promotion_actions &Actions) const {
   bool IsPrimary = Instance == Request.OldPrimary && !IsPrimaryDemoted;
-  Actions.push_back(promotion_fence{Instance, IsPrimary, NewTerm});
+  Actions.push_back(promotion_fence{Instance, IsPrimary, FenceTerm});
 }
 
 void promotion::sendFences(promotion_actions &Actions) const {
@@ -118,7 +122,7 @@
 
 bool promotion::isFenced(const instance_status &Status) const {
   return Status.Role == groups::instance_role::Replica &&
-         Status.FencedTerm >= NewTerm;
+         Status.FencedTerm >= FenceTerm;
 }
 
 void promotion::instanceAnswered(const base::instance_id &Instance,
@@ -163,7 +167,7 @@
   bool IsPrimary = Status.Role == groups::instance_role::Primary;
   bool IsOldPrimary = Instance == Request.OldPrimary;
   if (IsPrimary && !IsOldPrimary) {
-    Actions.push_back(promotion_fence{Instance, true, NewTerm});
+    Actions.push_back(promotion_fence{Instance, true, FenceTerm});
   } else if (!IsPrimary && IsOldPrimary && !IsPrimaryDemoted) {
     // The replicas are fenced now too; see promotion_request.
     IsPrimaryDemoted = true;
--- a/packages/sessions/src/promotion_claim.cpp
+++ b/packages/sessions/src/promotion_claim.cpp
@@ -4,6 +4,8 @@
 #include "radishrelay/base/store_version.h"
 #include "radishrelay/sessions/promotion.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace radishrelay::sessions {
@@ -27,16 +29,42 @@
 /// ClaimPeriod, since an announcement fails once another host has the claim.
 constexpr base::duration OrderPeriod = std::chrono::milliseconds(3500);
 
+std::optional<groups::term_number> termField(const base::json &Claim,
+                                             const char *Key) {
+  if (!Claim.is_object() || !Claim.contains(Key) ||
+      !Claim[Key].is_number_integer())
+    return std::nullopt;
+  return Claim[Key].get<groups::term_number>();
+}
+
 } // namespace
 
+base::row_key promotionClaimKey(const base::group_id &Group) {
+  return {"promotions", Group.str()};
+}
+
+claim_view viewOf(const base::json &Claim) {
+  // An announced order leads to no later term than the announced one.
+  bool IsAnnounced =
+      base::flagField(Claim, "ordering") || base::flagField(Claim, "done");
+  // Hosts of an earlier release do not write the announced term.
+  groups::term_number Announced =
+      IsAnnounced ? termField(Claim, "term").value_or(0) + 1 : 0;
+  return {termField(Claim, "announced_term").value_or(Announced),
+          !Claim.is_null() && !IsAnnounced};
+}
+
+groups::term_number ledTermOf(const base::json &Claim) {
+  return base::flagField(Claim, "done") ? viewOf(Claim).AnnouncedTerm : 0;
+}
+
 bool promotion::mayOrderArrive(const base::json &Claim) const {
   bool IsOrdering =
       base::flagField(Claim, "ordering") && !base::flagField(Claim, "done");
   // An order that was not repeated has arrived if it has taken effect.
   bool HasArrived =
-      !base::flagField(Claim, "repeated") && Claim.contains("term") &&
-      Claim["term"].is_number_integer() &&
-      Claim["term"].get<groups::term_number>() + 1 == Request.Term &&
+      !base::flagField(Claim, "repeated") &&
+      termField(Claim, "term").value_or(Request.Term) + 1 == Request.Term &&
       base::textField(Claim, "instance") == Request.OldPrimary.str();
   return IsOrdering && !HasArrived;
 }
@@ -45,17 +73,13 @@
   return Options.Host.str() + "/" + Options.Incarnation;
 }
 
-base::row_key promotion::claimKey() const {
-  return {"promotions", Group.str()};
-}
-
 bool promotion::mayClaimBeLost(base::time_point Now) const {
   return HistorySeenAt && Now < *HistorySeenAt + ClaimPeriod;
 }
 
 void promotion::readClaim(base::time_point Now, promotion_actions &Actions) {
   enter(promotion_stage::Reading, Now + StoreTimeout);
-  OpenCall = callStore(base::read_row{claimKey()}, Actions);
+  OpenCall = callStore(base::read_row{promotionClaimKey(Group)}, Actions);
 }
 
 std::uint64_t promotion::callStore(base::store_request StoreRequest,
@@ -103,6 +127,11 @@
     abandon("the store was restored and may have lost a claim", Now, Actions);
     return;
   }
+  LedTerm = Row ? std::max(LedTerm, ledTermOf(Row->Value)) : LedTerm;
+  if (LedTerm > Request.Term) {
+    abandon("the claim shows a later promotion", Now, Actions);
+    return;
+  }
   if (Version != SeenVersion) {
     SeenVersion = Version;
     SeenAt = Now;
@@ -118,6 +147,8 @@
             Now, Actions);
     return;
   }
+  EarlierAnnouncedTerm = Row ? viewOf(Row->Value).AnnouncedTerm : 0;
+  AnnouncedTerm = EarlierAnnouncedTerm;
   Operation = std::to_string(Random());
   enter(promotion_stage::Claiming, Now + StoreTimeout);
   ClaimDeadline = Now + OrderPeriod;
@@ -145,9 +176,10 @@
   Value["ordering"] = State == claim_state::Ordering;
   Value["repeated"] = OpenOrders > 0;
   Value["done"] = State == claim_state::Done;
+  Value["announced_term"] = AnnouncedTerm;
   base::store_transaction Transaction;
-  Transaction.Conditions.push_back({claimKey(), ClaimVersion});
-  Transaction.Writes.push_back({claimKey(), std::move(Value)});
+  Transaction.Conditions.push_back({promotionClaimKey(Group), ClaimVersion});
+  Transaction.Writes.push_back({promotionClaimKey(Group), std::move(Value)});
   return callStore(std::move(Transaction), Actions);
 }
 
--- a/packages/sessions/src/promotion_order.cpp
+++ b/packages/sessions/src/promotion_order.cpp
@@ -44,8 +44,8 @@
 void promotion::onCandidateAnswer(const instance_status &Status,
                                   base::time_point Now,
                                   promotion_actions &Actions) {
-  bool Leads =
-      Status.Role == groups::instance_role::Primary && Status.Term >= NewTerm;
+  bool Leads = Status.Role == groups::instance_role::Primary &&
+               Status.Term > Request.Term;
   if (!Leads)
     return;
   for (const promotion_member &Member : Request.Members)
@@ -53,6 +53,7 @@
       Actions.push_back(promotion_unfence{Member.Instance});
   // Marks the claim as done, so that other hosts need not wait until it
   // expires. Not while an earlier order may arrive after theirs.
+  AnnouncedTerm = Status.Term;
   std::size_t ArrivedOrders = Stage == promotion_stage::Confirming ? 0 : 1;
   if (OpenOrders <= ArrivedOrders)
     writeClaim(claim_state::Done, Actions);
@@ -145,6 +146,9 @@
   }
   enter(promotion_stage::Announcing, Now + StoreTimeout);
   OrderDeadline = Now + AnnouncedOrderPeriod;
+  // The promoted instance leads the term after the newest one, which may be
+  // that of an earlier announced order.
+  AnnouncedTerm = FenceTerm;
   OpenCall = writeClaim(claim_state::Ordering, Actions);
 }
 
--- a/packages/sessions/tests/promotion_orders_test.cpp
+++ b/packages/sessions/tests/promotion_orders_test.cpp
@@ -229,6 +229,126 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Hosts confirm a lease by the highest term that the claim announces. Guards
+// against a lease on a replaced primary after a later claim.
+BOOST_AUTO_TEST_SUITE(whose_claim_carries_the_highest_term)
+
+const base::json ClaimOfTerm3{{"holder", "h2/1"},
+                              {"operation", "9"},
+                              {"term", 2},
+                              {"done", true},
+                              {"announced_term", 3}};
+
+struct later_fixture : fixture {
+  later_fixture() { Request.Term = 3; }
+
+  void answer(const base::instance_id &Instance, groups::log_offset Offset,
+              groups::term_number Fence) {
+    Promotion.instanceAnswered(Instance,
+                               {instance_role::Replica, 3, {3, Offset}, Fence},
+                               Now, Now, Actions);
+    if (isAnnouncing())
+      storeAnswers(done(++AnnouncedVersion));
+  }
+
+  /// Claims the promotion after one that led term 3, and verifies the fences.
+  void verifyLater() {
+    start();
+    storeAnswers(storedClaim(8, ClaimOfTerm3));
+    advanceBy(3000ms);
+    start();
+    storeAnswers(storedClaim(8, ClaimOfTerm3));
+    storeAnswers(done(42));
+    for (base::duration Pause : {1200ms, 0ms}) {
+      answer(R1, 5, 4);
+      answer(R2, 9, 4);
+      advanceBy(Pause);
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(that_was_announced_before, later_fixture) {
+  start();
+  storeAnswers(storedClaim(8, ClaimOfTerm3));
+  advanceBy(3000ms);
+  start();
+  storeAnswers(storedClaim(8, ClaimOfTerm3));
+  BOOST_TEST(viewOf(lastClaim()).AnnouncedTerm == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(that_its_order_may_lead_to, later_fixture) {
+  verifyLater();
+  BOOST_REQUIRE(lastClaim()["ordering"] == true);
+  BOOST_TEST(viewOf(lastClaim()).AnnouncedTerm == 4U);
+  BOOST_TEST(ledTermOf(lastClaim()) == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(that_the_promoted_instance_leads, later_fixture) {
+  verifyLater();
+  orderAnswered(order_outcome::Accepted);
+  Promotion.instanceAnswered(R2, {instance_role::Primary, 4, {4, 9}, 0}, Now,
+                             Now, Actions);
+  BOOST_TEST(viewOf(lastClaim()).AnnouncedTerm == 4U);
+  BOOST_TEST(ledTermOf(lastClaim()) == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(without_an_order_that_was_refused, later_fixture) {
+  verifyLater();
+  orderAnswered(order_outcome::NotDone);
+  advanceBy(4000ms); // no instance answers
+  BOOST_TEST(viewOf(lastClaim()).AnnouncedTerm == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(with_an_order_that_may_still_take_effect,
+                        later_fixture) {
+  verifyLater();
+  orderAnswered(order_outcome::Accepted);
+  advanceBy(2500ms); // the instance does not answer
+  BOOST_TEST(lastClaim()["ordering"] == false);
+  BOOST_TEST(viewOf(lastClaim()).AnnouncedTerm == 4U);
+}
+
+// Guards against fences for the very term that leads, which do not keep its
+// primary from acknowledging commits (search seed 224).
+BOOST_FIXTURE_TEST_CASE(and_is_not_taken_on_an_earlier_term, later_fixture) {
+  Request.Term = 2;
+  start();
+  storeAnswers(storedClaim(8, ClaimOfTerm3));
+  BOOST_TEST(Promotion.isIdle());
+  BOOST_TEST(Promotion.ledTerm() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(and_fences_above_an_order_that_may_have_taken_effect,
+                        later_fixture) {
+  base::json Ordering = ClaimOfTerm3;
+  Ordering["done"] = false;
+  Ordering["ordering"] = true;
+  Request.Term = 2;
+  start();
+  storeAnswers(storedClaim(8, Ordering));
+  advanceBy(16000ms);
+  start();
+  storeAnswers(storedClaim(8, Ordering));
+  storeAnswers(done(42));
+  BOOST_TEST(lastFence(R1).Term == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(also_if_an_earlier_release_has_written_it) {
+  BOOST_TEST((viewOf({{"term", 2}, {"done", true}}) == claim_view{3, false}));
+  BOOST_TEST(
+      (viewOf({{"term", 2}, {"ordering", true}}) == claim_view{3, false}));
+  BOOST_TEST((viewOf({{"term", 2}}) == claim_view{0, true}));
+}
+
+BOOST_AUTO_TEST_CASE(and_whether_a_later_one_may_follow) {
+  BOOST_TEST(
+      (viewOf({{"term", 2}, {"announced_term", 2}}) == claim_view{2, true}));
+  BOOST_TEST((viewOf(ClaimOfTerm3) == claim_view{3, false}));
+  BOOST_TEST((viewOf(base::json()) == claim_view{0, false}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace radishrelay::sessions::tests
