--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -68,9 +68,8 @@
   /// The primary, if it is proved at \p Now and responds.
   [[nodiscard]] std::optional<base::instance_id>
   usablePrimary(base::time_point Now) const;
-  /// The latest known primary even if its proof has expired. Safe for writes
-  /// whose acknowledgement depends on a replica, since a replaced primary
-  /// cannot acknowledge them.
+  /// The latest primary even if its lease has run out. A write may be sent to
+  /// it, since the client is told of its commit under a confirmed lease alone.
   [[nodiscard]] std::optional<base::instance_id> primaryForWrites() const;
   /// Until when a commit that runs on \p Instance may be acknowledged: in the
   /// failure domain of the primary, as long as the primary and a listed replica
@@ -78,6 +77,15 @@
   /// knows may confirm commits, and a promotion outside would lose them.
   [[nodiscard]] base::time_point
   commitAwaitedUntil(const base::instance_id &Instance) const;
+  /// Whether \p Instance was the primary when it acknowledged the commit at
+  /// \p Position, at \p AcknowledgedAt; empty if this is not known yet.
+  [[nodiscard]] std::optional<bool>
+  isCommitProved(const base::instance_id &Instance,
+                 std::optional<groups::log_position> Position,
+                 base::time_point AcknowledgedAt) const;
+  /// Called while a commit waits for isCommitProved().
+  void requestCommitProof(base::time_point AcknowledgedAt,
+                          base::time_point Now);
   /// From now on this host starts no promotion; one that is in progress goes
   /// on.
   void stopPromoting() { MayPromote = false; }
@@ -98,7 +106,7 @@
   void recordFailure(const base::instance_id &Instance, base::time_point Now);
   /// Records that \p Instance answered a probe or a statement.
   void recordAnswer(const base::instance_id &Instance, base::time_point Now) {
-    if (Leadership.primary() == Instance)
+    if (Leadership.leaderOfHighestTerm() == Instance)
       PrimaryAnsweredAt = Now;
   }
   /// Records a write on \p Instance that had no answer in time.
@@ -152,8 +160,9 @@
                              const member_state &Member) const;
 
   /// Whether commits on \p Primary may be confirmed by an instance that has
-  /// started without being listed. Only the hosts that share the failure domain
-  /// of the primary reach it while that domain is cut off.
+  /// started without being listed, so that they prove nothing. Only the
+  /// hosts that share the failure domain of the primary reach it while that
+  /// domain is cut off.
   [[nodiscard]] bool mayUnlistedConfirm(const base::instance_id &Primary) const;
   /// Renews the proof before it expires: asks other hosts first, then probes.
   void seekProof(base::time_point Now);
@@ -176,6 +185,14 @@
   }
   void startProbeIfDue(base::time_point Now);
   void endProbe(base::time_point Now);
+  /// When the claim of the group has to be read next; the distant future if it
+  /// does not.
+  [[nodiscard]] base::time_point claimReadDueAt(base::time_point Now) const;
+  void readClaimIfDue(base::time_point Now);
+  /// Whether the primary is proved by answers since the last probe started.
+  [[nodiscard]] bool isProvedAnew(base::time_point Now) const;
+  /// Records that the latest probe has proved the primary.
+  void recordProbeAnswered();
   void recordPrimaryProved(base::time_point Now);
   [[nodiscard]] bool isProbeNeeded(base::time_point Now) const;
   /// Whether the primary has been unresponsive, or has lost writes, long enough
@@ -202,8 +219,6 @@
   /// Whether the replicas are known to hold every acknowledged commit, so that
   /// the primary can be replaced although it does not answer.
   [[nodiscard]] bool canReplaceWithoutPrimary(base::time_point Now) const;
-  /// The primary, if it leads the highest known term.
-  [[nodiscard]] std::optional<base::instance_id> primaryOfHighestTerm() const;
   [[nodiscard]] replica_knowledge replicaKnowledge(base::time_point Now) const;
   /// Whether a recent status of the primary shows it as primary in the highest
   /// known term.
@@ -256,6 +271,15 @@
   bool IsProbing = false;
   base::time_point ProbeStartedAt;
   base::time_point NextProbeAt;
+  base::time_point NextClaimReadAt;
+  bool IsReadingClaim = false;
+  /// When the commit was acknowledged that has last waited for a proof.
+  base::time_point UnprovedCommitAt;
+  base::time_point CommitProofRequestedAt;
+  /// Whether the claim was read in the run of this host.
+  bool HasReadClaim = false;
+  /// Whether the store has not answered the last read of the claim in time.
+  bool IsClaimOverdue = false;
   std::uint32_t FailedProbes = 0;
   base::time_point FirstFailureAt;
   base::time_point PrimaryAnsweredAt;
--- a/packages/sessions/include/radishrelay/sessions/group_leadership.h
+++ b/packages/sessions/include/radishrelay/sessions/group_leadership.h
@@ -27,10 +27,21 @@
 ///
 /// A promotion first fences all instances but one, then waits for the lease
 /// duration. If, after some time point, the primary and one other instance were
-/// both unfenced, no promotion takes effect before that time point plus the
-/// lease duration, and the primary holds every acknowledged commit until then.
-/// An acknowledged commit proves this by itself, since a replica has received
-/// it; otherwise the statuses of two instances are needed.
+/// both unfenced, no promotion takes effect between that time point and the end
+/// of the lease that it begins. Each further such proof extends the lease if it
+/// arrives before the lease has run out.
+///
+/// A proof says nothing about earlier promotions: after one has taken effect,
+/// its fences are removed, and a replica that has not heard of it still follows
+/// the old primary. A lease therefore counts only once it is confirmed: a read
+/// of the claim of the group that announces no later term vouches for the time
+/// at which the first proof of the lease arrived. A promotion announces its
+/// term in the claim before it takes effect, so a read vouches for all time
+/// before it was sent. If the claim shows no attempt in progress, it vouches
+/// for the lease duration after that as well, since an attempt claims, fences
+/// and waits for so long before it announces a term. While the store does not
+/// answer, the statuses of all members confirm a lease, since a promoted
+/// instance is among them.
 class group_leadership {
 public:
   explicit group_leadership(base::duration LeaseDuration)
@@ -41,35 +52,74 @@
   /// Sets whether an acknowledged commit is held by at least one replica.
   void setCommitsReplicated(bool Value) { AreCommitsReplicated = Value; }
 
-  /// Records that \p Instance acknowledged a commit sent at \p SentAt.
+  /// Records that \p Instance acknowledged a commit sent at \p SentAt. This is
+  /// a proof if a replica has received it.
   void recordCommit(const base::instance_id &Instance,
-                    groups::log_position Position, base::time_point SentAt);
+                    groups::log_position Position, base::time_point SentAt,
+                    base::time_point Now);
   /// Records the end of the log of \p Instance, as reported in an answer to a
   /// request sent at \p SentAt.
   void recordPosition(const base::instance_id &Instance,
                       groups::log_position Position, base::time_point SentAt);
   /// Records the answer of \p Instance to a status call sent at \p SentAt.
   void recordStatus(const base::instance_id &Instance,
-                    const instance_status &Status, base::time_point SentAt);
+                    const instance_status &Status, base::time_point SentAt,
+                    base::time_point Now);
   /// Records that a promotion to \p LedTerm has taken effect.
   void recordTerm(groups::term_number LedTerm);
-  /// Records that another host proved \p Instance at \p ProvedAt.
+  /// Records the claim of the group, read from the store by a call sent at
+  /// \p ReadAt.
+  void recordClaim(const claim_view &Claim, base::time_point ReadAt,
+                   base::time_point Now);
+  /// Whether \p Instance was the primary when it acknowledged a commit of
+  /// \p CommitTerm at \p AcknowledgedAt: a confirmed lease covers that time
+  /// point, or a read of the claim vouches for it. Empty if this is not known
+  /// yet.
+  [[nodiscard]] std::optional<bool> ledAt(base::time_point AcknowledgedAt,
+                                          const base::instance_id &Instance,
+                                          groups::term_number CommitTerm) const;
+  /// Confirms the lease that is running, if all members have answered since,
+  /// are unfenced and know no later term. Members that were removed since the
+  /// claim was last read may know one.
+  void confirmByMembers(base::time_point Now);
+  /// Records that a member was removed.
+  void recordMemberRemoved(base::time_point Now);
+  /// When the lease began that the claim of the group has to confirm; empty if
+  /// none is running.
+  [[nodiscard]] std::optional<base::time_point>
+  claimAwaitedSince(base::time_point Now) const;
+  /// Records the confirmed lease of another host, which proved \p Instance at
+  /// \p ProvedAt.
   void recordProof(const base::instance_id &Instance,
                    groups::term_number NewTerm, base::time_point ProvedAt);
   /// Records that \p Instance rejected work that only a primary accepts.
   void recordNotPrimary(const base::instance_id &Instance);
 
-  /// The latest proved primary; it may have been replaced since.
+  /// The primary of the latest confirmed lease; it may have been replaced
+  /// since.
   [[nodiscard]] const std::optional<base::instance_id> &primary() const {
     return Primary;
   }
   [[nodiscard]] groups::term_number term() const { return Term; }
+  /// The instance that was last proved to lead, with or without a confirmed
+  /// lease. Not to be used for clients, but to be probed and replaced.
+  [[nodiscard]] const std::optional<base::instance_id> &leader() const {
+    return Leader;
+  }
+  /// The leader, if no later term is known.
+  [[nodiscard]] std::optional<base::instance_id> leaderOfHighestTerm() const;
   /// Highest term reported by any instance or host, with or without a proof.
   [[nodiscard]] groups::term_number highestTerm() const { return HighestTerm; }
-  /// Whether the proof is valid at \p Now, so that the primary holds every
-  /// acknowledged commit.
+  /// Whether a confirmed lease is running at \p Now, so that the primary holds
+  /// every acknowledged commit.
   [[nodiscard]] bool isProved(base::time_point Now) const;
   [[nodiscard]] base::time_point provedAt() const { return ProvedAt; }
+  /// End of the confirmed lease on \p Instance; the distant past if there is
+  /// none.
+  [[nodiscard]] base::time_point
+  provedUntil(const base::instance_id &Instance) const;
+  /// Date of the latest proof, whether its lease is confirmed or not.
+  [[nodiscard]] base::time_point latestProofAt() const;
 
   /// Returns a position that covers every commit acknowledged before \p Time:
   /// the oldest one recorded since then, because most replicas have reached it.
@@ -85,10 +135,12 @@
   /// The newest position recorded in the current term.
   [[nodiscard]] std::optional<dated_position> newestPosition() const;
 
-  /// Latest status of an instance, with the send time of the status call.
+  /// Latest status of an instance, with the times at which the status call was
+  /// sent and its answer arrived.
   struct dated_status {
     instance_status Status;
     base::time_point SentAt;
+    base::time_point ArrivedAt;
   };
   [[nodiscard]] const std::map<base::instance_id, dated_status> &
   statuses() const {
@@ -98,11 +150,35 @@
   [[nodiscard]] base::json dump() const;
 
 private:
-  void prove(const base::instance_id &Instance, groups::term_number NewTerm,
-             base::time_point SentAt);
+  /// Evidence that an instance leads a term: it and another instance were both
+  /// unfenced between SentAt and ArrivedAt.
+  struct proof {
+    base::instance_id Instance;
+    groups::term_number Term = 0;
+    base::time_point SentAt;
+    base::time_point ArrivedAt;
+  };
+  /// A lease that no claim has confirmed yet.
+  struct unconfirmed_lease {
+    base::instance_id Primary;
+    groups::term_number Term = 0;
+    base::time_point ProvedAt;
+    /// When its first proof arrived.
+    base::time_point BegunAt;
+  };
+
+  void prove(const proof &Proof);
   void proveFromStatuses();
-  [[nodiscard]] std::optional<base::time_point>
-  confirmedAt(const base::instance_id &Candidate,
+  /// Confirms the lease that is running if the last read of the claim vouches
+  /// for it.
+  void confirmByClaim();
+  /// Sets the confirmed lease, or extends it.
+  void confirm(const base::instance_id &Instance, groups::term_number NewTerm,
+               base::time_point NewProvedAt);
+  [[nodiscard]] bool isLease(const base::instance_id &Instance,
+                             groups::term_number OtherTerm) const;
+  [[nodiscard]] std::optional<proof>
+  confirmedBy(const base::instance_id &Candidate,
               const dated_status &Dated) const;
 
   base::duration LeaseDuration;
@@ -113,6 +189,20 @@
   groups::term_number HighestTerm = 0;
   base::time_point ProvedAt;
   bool HasProof = false;
+  std::optional<unconfirmed_lease> Unconfirmed;
+  std::optional<base::instance_id> Leader;
+  groups::term_number LeaderTerm = 0;
+  /// Until then no lease begins on a primary of at most RefusedTerm, since the
+  /// claim announced a later one.
+  base::time_point RefusedUntil;
+  groups::term_number RefusedTerm = 0;
+  /// What the claim announced when it was last read.
+  groups::term_number AnnouncedTerm = 0;
+  base::time_point ClaimReadAt;
+  /// No term after AnnouncedTerm was led up to this time point.
+  base::time_point VouchedUntil;
+  /// Whether all instances that may have been promoted since then are members.
+  bool AreMembersKnown = false;
   std::map<base::instance_id, dated_status> Statuses;
   std::deque<dated_position> Positions;
 };
--- a/packages/sessions/src/group_leadership.cpp
+++ b/packages/sessions/src/group_leadership.cpp
@@ -12,6 +12,9 @@
 /// Time after which a position is discarded: the largest staleness that routes
 /// accept.
 constexpr base::duration PositionLifetime = std::chrono::seconds(10);
+/// Time after which a claim that announced a later term is read again, since
+/// its order may have been withdrawn.
+constexpr base::duration RefusalPeriod = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -28,35 +31,139 @@
 
 void group_leadership::recordCommit(const base::instance_id &Instance,
                                     groups::log_position Position,
-                                    base::time_point SentAt) {
-  HighestTerm = std::max(HighestTerm, Position.Term);
+                                    base::time_point SentAt,
+                                    base::time_point Now) {
+  recordTerm(Position.Term);
   if (AreCommitsReplicated)
-    prove(Instance, Position.Term, SentAt);
+    prove({Instance, Position.Term, SentAt, Now});
   recordPosition(Instance, Position, SentAt);
 }
 
-void group_leadership::prove(const base::instance_id &Instance,
-                             groups::term_number NewTerm,
-                             base::time_point SentAt) {
-  if (NewTerm < Term)
+bool group_leadership::isLease(const base::instance_id &Instance,
+                               groups::term_number OtherTerm) const {
+  return HasProof && Primary == Instance && Term == OtherTerm;
+}
+
+void group_leadership::prove(const proof &Proof) {
+  if (Proof.Term < HighestTerm)
+    return;
+  Leader = Proof.Instance;
+  LeaderTerm = Proof.Term;
+  if (isLease(Proof.Instance, Proof.Term) && isProved(Proof.ArrivedAt)) {
+    ProvedAt = std::max(ProvedAt, Proof.SentAt);
     return;
-  bool IsNew = NewTerm > Term || Primary != Instance;
-  if (IsNew) {
-    Primary = Instance;
-    Term = NewTerm;
-    ProvedAt = SentAt;
-  } else {
-    ProvedAt = HasProof ? std::max(ProvedAt, SentAt) : SentAt;
   }
+  if (Proof.Term <= RefusedTerm && Proof.ArrivedAt < RefusedUntil)
+    return;
+  bool IsExtension = Unconfirmed && Unconfirmed->Primary == Proof.Instance &&
+                     Unconfirmed->Term == Proof.Term &&
+                     Proof.ArrivedAt <= Unconfirmed->ProvedAt + LeaseDuration;
+  if (IsExtension)
+    Unconfirmed->ProvedAt = std::max(Unconfirmed->ProvedAt, Proof.SentAt);
+  else
+    Unconfirmed = {Proof.Instance, Proof.Term, Proof.SentAt, Proof.ArrivedAt};
+  confirmByClaim();
+}
+
+void group_leadership::confirm(const base::instance_id &Instance,
+                               groups::term_number NewTerm,
+                               base::time_point NewProvedAt) {
+  ProvedAt = isLease(Instance, NewTerm) ? std::max(ProvedAt, NewProvedAt)
+                                        : NewProvedAt;
+  Primary = Leader = Instance;
+  Term = LeaderTerm = NewTerm;
   HasProof = true;
 }
 
+std::optional<base::instance_id> group_leadership::leaderOfHighestTerm() const {
+  return LeaderTerm == HighestTerm ? Leader : std::nullopt;
+}
+
+std::optional<base::time_point>
+group_leadership::claimAwaitedSince(base::time_point Now) const {
+  if (!Unconfirmed || Now > Unconfirmed->ProvedAt + LeaseDuration)
+    return std::nullopt;
+  return Unconfirmed->BegunAt;
+}
+
+void group_leadership::recordClaim(const claim_view &Claim,
+                                   base::time_point ReadAt,
+                                   base::time_point Now) {
+  if (ReadAt < ClaimReadAt)
+    return;
+  AnnouncedTerm = Claim.AnnouncedTerm;
+  ClaimReadAt = ReadAt;
+  VouchedUntil = Claim.IsAttemptInProgress ? ReadAt : ReadAt + LeaseDuration;
+  AreMembersKnown = true;
+  if (Unconfirmed && AnnouncedTerm > Unconfirmed->Term) {
+    RefusedTerm = Unconfirmed->Term;
+    RefusedUntil = Now + RefusalPeriod;
+    Unconfirmed.reset();
+  }
+  confirmByClaim();
+}
+
+void group_leadership::confirmByClaim() {
+  bool IsVouchedFor = Unconfirmed && Unconfirmed->BegunAt <= VouchedUntil &&
+                      Unconfirmed->Term >= std::max(AnnouncedTerm, HighestTerm);
+  if (!IsVouchedFor)
+    return;
+  confirm(Unconfirmed->Primary, Unconfirmed->Term, Unconfirmed->ProvedAt);
+  Unconfirmed.reset();
+}
+
+std::optional<bool>
+group_leadership::ledAt(base::time_point AcknowledgedAt,
+                        const base::instance_id &Instance,
+                        groups::term_number CommitTerm) const {
+  if (isLease(Instance, CommitTerm) && isProved(AcknowledgedAt))
+    return true;
+  if (CommitTerm < HighestTerm)
+    return false;
+  if (AcknowledgedAt > VouchedUntil)
+    return std::nullopt;
+  return AnnouncedTerm <= CommitTerm;
+}
+
+void group_leadership::recordMemberRemoved(base::time_point Now) {
+  if (!isProved(Now))
+    AreMembersKnown = false;
+}
+
+void group_leadership::confirmByMembers(base::time_point Now) {
+  if (!Unconfirmed || !AreMembersKnown || Unconfirmed->Term < AnnouncedTerm ||
+      Unconfirmed->Term < HighestTerm)
+    return;
+  base::time_point Since = Unconfirmed->ProvedAt;
+  for (const base::instance_id &Member : Members) {
+    auto Dated = Statuses.find(Member);
+    bool IsUnfenced = Dated != Statuses.end() &&
+                      Dated->second.Status.Term <= Unconfirmed->Term &&
+                      Dated->second.Status.FencedTerm <= Unconfirmed->Term;
+    if (!IsUnfenced)
+      return;
+    Since = std::min(Since, Dated->second.SentAt);
+  }
+  if (Now > Since + LeaseDuration)
+    return;
+  confirm(Unconfirmed->Primary, Unconfirmed->Term, Since);
+  Unconfirmed.reset();
+}
+
 void group_leadership::recordProof(const base::instance_id &Instance,
                                    groups::term_number NewTerm,
-                                   base::time_point ProvedAt) {
-  HighestTerm = std::max(HighestTerm, NewTerm);
-  if (Members.contains(Instance))
-    prove(Instance, NewTerm, ProvedAt);
+                                   base::time_point NewProvedAt) {
+  recordTerm(NewTerm);
+  if (!Members.contains(Instance) || NewTerm < HighestTerm)
+    return;
+  confirm(Instance, NewTerm, NewProvedAt);
+  bool IsContinued = Unconfirmed &&
+                     isLease(Unconfirmed->Primary, Unconfirmed->Term) &&
+                     isProved(Unconfirmed->BegunAt);
+  if (IsContinued) {
+    ProvedAt = std::max(ProvedAt, Unconfirmed->ProvedAt);
+    Unconfirmed.reset();
+  }
 }
 
 std::optional<group_leadership::dated_position>
@@ -70,10 +177,20 @@
   return HasProof && Primary && Now <= ProvedAt + LeaseDuration;
 }
 
+base::time_point
+group_leadership::provedUntil(const base::instance_id &Instance) const {
+  return HasProof && Primary == Instance ? ProvedAt + LeaseDuration
+                                         : base::time_point();
+}
+
+base::time_point group_leadership::latestProofAt() const {
+  return Unconfirmed ? std::max(ProvedAt, Unconfirmed->ProvedAt) : ProvedAt;
+}
+
 void group_leadership::recordPosition(const base::instance_id &Instance,
                                       groups::log_position Position,
                                       base::time_point SentAt) {
-  HighestTerm = std::max(HighestTerm, Position.Term);
+  recordTerm(Position.Term);
   if (Primary != Instance || Position.Term != Term || !isProved(SentAt))
     return;
   while (!Positions.empty() &&
@@ -86,14 +203,15 @@
 
 void group_leadership::recordStatus(const base::instance_id &Instance,
                                     const instance_status &Status,
-                                    base::time_point SentAt) {
-  HighestTerm = std::max({HighestTerm, Status.Term, Status.Received.Term});
+                                    base::time_point SentAt,
+                                    base::time_point Now) {
+  recordTerm(std::max(Status.Term, Status.Received.Term));
   if (!Members.contains(Instance))
     return;
   auto Known = Statuses.find(Instance);
   if (Known != Statuses.end() && SentAt < Known->second.SentAt)
     return;
-  Statuses[Instance] = {Status, SentAt};
+  Statuses[Instance] = {Status, SentAt, Now};
   proveFromStatuses();
   if (Status.Role == groups::instance_role::Primary)
     recordPosition(Instance, Status.Received, SentAt);
@@ -101,12 +219,12 @@
     recordNotPrimary(Instance);
 }
 
-std::optional<base::time_point>
-group_leadership::confirmedAt(const base::instance_id &Candidate,
+std::optional<group_leadership::proof>
+group_leadership::confirmedBy(const base::instance_id &Candidate,
                               const dated_status &Dated) const {
   if (Members.size() == 1)
-    return Dated.SentAt;
-  std::optional<base::time_point> Latest;
+    return proof{Candidate, Dated.Status.Term, Dated.SentAt, Dated.ArrivedAt};
+  std::optional<proof> Latest;
   for (const auto &[Other, OtherDated] : Statuses) {
     const instance_status &Status = OtherDated.Status;
     bool Confirms = Other != Candidate &&
@@ -114,8 +232,11 @@
                     Status.Term <= Dated.Status.Term;
     if (!Confirms)
       continue;
-    base::time_point Both = std::min(Dated.SentAt, OtherDated.SentAt);
-    Latest = Latest ? std::max(*Latest, Both) : Both;
+    proof Both{Candidate, Dated.Status.Term,
+               std::min(Dated.SentAt, OtherDated.SentAt),
+               std::max(Dated.ArrivedAt, OtherDated.ArrivedAt)};
+    if (!Latest || Both.SentAt > Latest->SentAt)
+      Latest = Both;
   }
   return Latest;
 }
@@ -125,14 +246,16 @@
     if (Dated.Status.Role != groups::instance_role::Primary ||
         Dated.Status.FencedTerm > Dated.Status.Term)
       continue;
-    if (std::optional<base::time_point> At = confirmedAt(Instance, Dated))
-      prove(Instance, Dated.Status.Term, *At);
+    if (std::optional<proof> Proof = confirmedBy(Instance, Dated))
+      prove(*Proof);
   }
 }
 
 void group_leadership::recordNotPrimary(const base::instance_id &Instance) {
   if (Primary == Instance)
     HasProof = false;
+  if (Unconfirmed && Unconfirmed->Primary == Instance)
+    Unconfirmed.reset();
   Statuses.erase(Instance);
 }
 
@@ -151,6 +274,7 @@
   Result["term"] = Term;
   Result["highest_term"] = HighestTerm;
   Result["proved_at_us"] = HasProof ? base::toMicroseconds(ProvedAt) : 0;
+  Result["awaits_claim"] = Unconfirmed.has_value();
   Result["evidence"] = Positions.size();
   Result["members"] = Members.size();
   return Result;
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -9,6 +9,9 @@
 /// Time for which a prober keeps its proof renewed after the last request for
 /// one, so that a lost primary is replaced before the next session needs it.
 constexpr base::duration DemandLifetime = std::chrono::seconds(3);
+/// DemandLifetime during an outage of the store, in which a lease that has run
+/// out is confirmed only if all instances answer.
+constexpr base::duration OutageDemandLifetime = std::chrono::seconds(60);
 /// A prober renews its proof this long before it expires and hands it out only
 /// until then: time for the first prober's status call on a busy instance, and
 /// for one more if the first prober is down.
@@ -40,6 +43,13 @@
 /// Time after which a pending proof request is dropped: the duration of one
 /// probe.
 constexpr base::duration OpenRequestLifetime = std::chrono::milliseconds(200);
+/// Time after which a read of the claim that has no answer is repeated.
+constexpr base::duration ClaimReadTimeout = std::chrono::milliseconds(1000);
+/// Time between an answer to a read of the claim and the next read.
+constexpr base::duration ClaimReadInterval = std::chrono::milliseconds(50);
+/// Time after the last request for its proof for which a commit counts as
+/// waiting. Longer than the interval of these requests.
+constexpr base::duration CommitProofLifetime = std::chrono::milliseconds(60);
 /// More than the number of hosts of one failure domain.
 constexpr std::size_t MaxOpenRequests = 256;
 /// Time within which all entries of a failure domain that is cut off expire: an
@@ -82,7 +92,7 @@
       Member.FirstListedAt = Now;
     bool IsRestarted = Member.Listing.StartedAt != 0 &&
                        Member.Listing.StartedAt != Listing.StartedAt;
-    if (IsRestarted && Leadership.primary() != Instance)
+    if (IsRestarted && Leadership.leader() != Instance)
       ReplicasChangedAt = Now;
     if (Listing.Draining && !Member.Listing.Draining)
       Member.LeavingSince = Now;
@@ -102,8 +112,8 @@
 }
 
 bool group_supervisor::isPrimaryShutOff() const {
-  auto Primary = Leadership.primary() ? Members.find(*Leadership.primary())
-                                      : Members.end();
+  auto Primary =
+      Leadership.leader() ? Members.find(*Leadership.leader()) : Members.end();
   return Primary != Members.end() &&
          ClosedDomains.contains(Primary->second.Listing.Domain) &&
          !hasSuccessor();
@@ -141,7 +151,7 @@
   bool IsDomainListed =
       ListConfirmedAt >= Member.UnlistedAt + ListingExpiryWindow &&
       ListedDomains.contains(Member.Listing.Domain);
-  return HasAnnounced && IsDomainListed && Leadership.primary() != Instance;
+  return HasAnnounced && IsDomainListed && Leadership.leader() != Instance;
 }
 
 void group_supervisor::updateMembers() {
@@ -182,7 +192,24 @@
 group_supervisor::commitAwaitedUntil(const base::instance_id &Instance) const {
   if (Settings.SyncReplicas == 0 || !mayUnlistedConfirm(Instance))
     return base::time_point::max();
-  return Leadership.provedAt() + Options.LeaseDuration;
+  return Leadership.provedUntil(Instance);
+}
+
+std::optional<bool>
+group_supervisor::isCommitProved(const base::instance_id &Instance,
+                                 std::optional<groups::log_position> Position,
+                                 base::time_point AcknowledgedAt) const {
+  if (Settings.SyncReplicas == 0)
+    return true;
+  return Leadership.ledAt(AcknowledgedAt, Instance,
+                          Position ? Position->Term : Leadership.term());
+}
+
+void group_supervisor::requestCommitProof(base::time_point AcknowledgedAt,
+                                          base::time_point Now) {
+  UnprovedCommitAt = AcknowledgedAt;
+  CommitProofRequestedAt = Now;
+  requestProof(Now);
 }
 
 bool group_supervisor::isPromotionOrdered() const {
@@ -195,7 +222,9 @@
 }
 
 base::duration group_supervisor::demandLifetime() const {
-  return Roles.IsProber ? DemandLifetime : PassiveDemandLifetime;
+  if (!Roles.IsProber)
+    return PassiveDemandLifetime;
+  return IsListComplete ? DemandLifetime : OutageDemandLifetime;
 }
 
 void group_supervisor::seekProof(base::time_point Now) {
@@ -308,8 +337,10 @@
   // Hosts that are not probers probe only to check whether they can reach the
   // primary again.
   if (!Roles.IsProber)
-    return isPrimarySuspected() && Leadership.primary();
-  return isPrimarySuspected() || !Leadership.isProved(Now + RenewalLeadTime);
+    return isPrimarySuspected() && Leadership.leader();
+  base::time_point RenewedBy = Now + RenewalLeadTime;
+  return isPrimarySuspected() || !(Leadership.isProved(RenewedBy) ||
+                                   Leadership.claimAwaitedSince(RenewedBy));
 }
 
 bool group_supervisor::isReachable(const base::instance_id &Instance,
@@ -324,12 +355,12 @@
   std::vector<base::instance_id> All;
   for (const auto &[Instance, Member] : Members)
     All.push_back(Instance);
-  const std::optional<base::instance_id> &Primary = Leadership.primary();
+  std::optional<base::instance_id> Primary = Leadership.leaderOfHighestTerm();
   if (!Primary)
     return All;
   if (!Roles.IsProber && !Roles.IsPromoter)
     return {*Primary};
-  if (isPrimarySuspected() || isPrimaryLeaving())
+  if (isPrimarySuspected() || isPrimaryLeaving() || IsClaimOverdue)
     return All;
   // The statuses of the primary and one replica form a proof; a replica in this
   // domain is preferred because calls to it are cheap. Instances in evacuated
@@ -373,11 +404,15 @@
   NextProbeAt = std::max(NextProbeAt, Now);
 }
 
-void group_supervisor::recordPrimaryProved(base::time_point Now) {
+void group_supervisor::recordProbeAnswered() {
   IsProbing = false;
   FailedProbes = 0;
   FirstFailureAt = {};
   DemotedSince.reset();
+}
+
+void group_supervisor::recordPrimaryProved(base::time_point Now) {
+  recordProbeAnswered();
   answerOpenRequests(Now);
   if (LoggedPrimary == Leadership.primary() && LoggedTerm == Leadership.term())
     return;
@@ -393,7 +428,7 @@
 
 void group_supervisor::recordFailure(const base::instance_id &Instance,
                                      base::time_point Now) {
-  if (Leadership.primary() != Instance)
+  if (Leadership.leader() != Instance)
     return;
   if (FirstFailureAt <= Leadership.provedAt())
     FirstFailureAt = Now;
@@ -401,7 +436,7 @@
 }
 
 void group_supervisor::recordWriteTimeout(const base::instance_id &Instance) {
-  if (Leadership.primary() != Instance)
+  if (Leadership.leader() != Instance)
     return;
   ++WriteTimeouts;
 }
@@ -415,11 +450,12 @@
   if (mayUnlistedConfirm(Instance))
     Leadership.recordPosition(Instance, Position, SentAt);
   else
-    Leadership.recordCommit(Instance, Position, SentAt);
-  if (Leadership.primary() == Instance) {
+    Leadership.recordCommit(Instance, Position, SentAt, Now);
+  if (Leadership.leader() == Instance) {
     WriteTimeouts = 0;
-    bool IsProvedSinceFailure =
-        SentAt > FirstFailureAt && !mayUnlistedConfirm(Instance);
+    bool IsProvedSinceFailure = SentAt > FirstFailureAt &&
+                                !mayUnlistedConfirm(Instance) &&
+                                Leadership.isProved(Now);
     if (IsProvedSinceFailure && Settings.SyncReplicas > 0)
       recordPrimaryProved(Now);
   }
@@ -429,8 +465,11 @@
                                     const instance_status &Status,
                                     base::time_point SentAt,
                                     base::time_point Now) {
-  Leadership.recordStatus(Instance, Status, SentAt);
-  bool IsDemoted = Leadership.primary() == Instance &&
+  Leadership.recordStatus(Instance, Status, SentAt, Now);
+  if (IsClaimOverdue)
+    Leadership.confirmByMembers(Now);
+  readClaimIfDue(Now);
+  bool IsDemoted = Leadership.leaderOfHighestTerm() == Instance &&
                    Status.Role == groups::instance_role::Replica &&
                    Status.Term == Leadership.highestTerm();
   if (IsDemoted && !DemotedSince)
@@ -440,7 +479,7 @@
   Promotion.instanceAnswered(Instance, Status, SentAt, Now, Actions);
   executeActions(Actions, Now);
   bool IsReachable = !Roles.IsProber && IsProbing &&
-                     Leadership.primary() == Instance &&
+                     Leadership.leader() == Instance &&
                      Status.Role == groups::instance_role::Primary;
   if (IsReachable) {
     // The primary is reachable again, but a proof has to come from a prober;
@@ -449,15 +488,66 @@
     FailedProbes = 0;
     NextProofRequestAt = Now;
   }
-  bool IsProved = Leadership.isProved(Now) &&
-                  Leadership.provedAt() >= ProbeStartedAt &&
-                  Leadership.provedAt() >= FirstFailureAt;
+  // A probe whose lease awaits the claim has not failed.
+  bool IsClaimAwaited =
+      Leadership.claimAwaitedSince(Now) &&
+      Leadership.latestProofAt() >= std::max(ProbeStartedAt, FirstFailureAt);
+  if (IsClaimAwaited)
+    recordProbeAnswered();
+  bool IsProved = isProvedAnew(Now);
   if (IsProved &&
       (IsProbing || FailedProbes > 0 || LoggedTerm != Leadership.term()))
     recordPrimaryProved(Now);
   return IsProved;
 }
 
+bool group_supervisor::isProvedAnew(base::time_point Now) const {
+  return Leadership.isProved(Now) && Leadership.provedAt() >= ProbeStartedAt &&
+         Leadership.provedAt() >= FirstFailureAt;
+}
+
+base::time_point group_supervisor::claimReadDueAt(base::time_point Now) const {
+  std::optional<base::time_point> AwaitedSince =
+      Leadership.claimAwaitedSince(Now);
+  bool IsCommitWaiting = Now < CommitProofRequestedAt + CommitProofLifetime &&
+                         !Leadership.isProved(UnprovedCommitAt);
+  if (!AwaitedSince && IsCommitWaiting)
+    AwaitedSince = UnprovedCommitAt;
+  // The first prober needs to know what was announced before the store goes
+  // away.
+  bool IsDue =
+      AwaitedSince ? Roles.IsProber : Roles.IsFirstProber && !HasReadClaim;
+  if (IsDue)
+    return NextClaimReadAt;
+  if (AwaitedSince)
+    return std::max(NextClaimReadAt, *AwaitedSince + ProofReplyTimeout);
+  return base::time_point::max();
+}
+
+void group_supervisor::readClaimIfDue(base::time_point Now) {
+  if (Now < claimReadDueAt(Now))
+    return;
+  IsClaimOverdue = IsClaimOverdue || IsReadingClaim;
+  IsReadingClaim = true;
+  NextClaimReadAt = Now + ClaimReadTimeout;
+  Store.execute(
+      base::read_row{promotionClaimKey(Group)},
+      [this, SentAt = Now](const base::store_answer &Answer, auto At) {
+        IsReadingClaim = false;
+        IsClaimOverdue = Answer.Outcome != base::store_outcome::Done;
+        NextClaimReadAt = At + ClaimReadInterval;
+        if (IsClaimOverdue)
+          return;
+        HasReadClaim = true;
+        const base::json Claim =
+            Answer.Rows.empty() ? base::json() : Answer.Rows.front().Value;
+        Leadership.recordTerm(ledTermOf(Claim));
+        Leadership.recordClaim(viewOf(Claim), SentAt, At);
+        if (isProvedAnew(At))
+          recordPrimaryProved(At);
+      });
+}
+
 void group_supervisor::advance(base::time_point Now) {
   bool AreMembersRemoved = false;
   std::erase_if(Members, [&](const auto &Entry) {
@@ -466,15 +556,18 @@
                  (Now >= Member.UnlistedAt + Options.UnlistedLifetime ||
                   hasLeft(Entry.first, Member));
     AreMembersRemoved = AreMembersRemoved || IsOld;
-    if (IsOld && Leadership.primary() != Entry.first)
+    if (IsOld && Leadership.leader() != Entry.first)
       ReplicasChangedAt = Now;
     return IsOld;
   });
-  if (AreMembersRemoved)
+  if (AreMembersRemoved) {
     updateMembers();
+    Leadership.recordMemberRemoved(Now);
+  }
   if (IsProbing && Now >= ProbeStartedAt + Options.StatusTimeout)
     endProbe(Now);
   seekProof(Now);
+  readClaimIfDue(Now);
   considerPromotion(Now);
   promotion_actions Actions;
   Promotion.setReplicaKnowledge(replicaKnowledge(Now));
@@ -488,12 +581,13 @@
     Wake = std::min(Wake, ProbeStartedAt + Options.StatusTimeout);
   else if (isProbeNeeded(Now))
     Wake = std::min(Wake, std::max(NextProbeAt, ReplyDeadline.value_or(Now)));
-  else if (Roles.IsProber && Now < ProofRequestedAt + DemandLifetime)
-    Wake = std::min(Wake, Leadership.provedAt() + Options.LeaseDuration -
+  else if (Roles.IsProber && Now < ProofRequestedAt + demandLifetime())
+    Wake = std::min(Wake, Leadership.latestProofAt() + Options.LeaseDuration -
                               RenewalLeadTime);
   else if (Now < ProofRequestedAt + demandLifetime() &&
            !Leadership.isProved(Now))
     Wake = std::min(Wake, NextProofRequestAt);
+  Wake = std::min(Wake, claimReadDueAt(Now));
   if (ReplaceDueSince)
     Wake = std::min(Wake, *ReplaceDueSince + Roles.PromotionDelay);
   if (isVoteDue(Now))
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -33,9 +33,9 @@
 }
 
 bool group_supervisor::isPrimaryLeaving() const {
-  if (!Leadership.primary() || DemotedSince)
+  if (!Leadership.leader() || DemotedSince)
     return false;
-  auto Member = Members.find(*Leadership.primary());
+  auto Member = Members.find(*Leadership.leader());
   if (Member == Members.end() || !Member->second.IsListed)
     return false;
   return Member->second.Listing.Draining ||
@@ -52,17 +52,10 @@
   return Reached + 1 >= Members.size();
 }
 
-std::optional<base::instance_id>
-group_supervisor::primaryOfHighestTerm() const {
-  if (Leadership.term() != Leadership.highestTerm())
-    return std::nullopt;
-  return Leadership.primary();
-}
-
 replica_knowledge
 group_supervisor::replicaKnowledge(base::time_point Now) const {
   replica_knowledge Knowledge;
-  if (primaryOfHighestTerm())
+  if (Leadership.leaderOfHighestTerm())
     Knowledge.NeededPosition = Leadership.positionSince(ReplicasChangedAt);
   Knowledge.IsListComplete = IsListComplete && !isSuccessorAwaited(Now);
   return Knowledge;
@@ -85,7 +78,7 @@
 }
 
 bool group_supervisor::canReplaceWithoutPrimary(base::time_point Now) const {
-  std::optional<base::instance_id> Primary = primaryOfHighestTerm();
+  std::optional<base::instance_id> Primary = Leadership.leaderOfHighestTerm();
   replica_knowledge Knowledge = replicaKnowledge(Now);
   if (!Primary || !Members.contains(*Primary))
     return Knowledge.IsListComplete;
@@ -98,8 +91,8 @@
 }
 
 bool group_supervisor::doesPrimaryLead(base::time_point Now) const {
-  auto Dated = Leadership.statuses().find(*Leadership.primary());
-  return isReachable(*Leadership.primary(), Now) &&
+  auto Dated = Leadership.statuses().find(*Leadership.leader());
+  return isReachable(*Leadership.leader(), Now) &&
          Dated->second.Status.Role == groups::instance_role::Primary &&
          Dated->second.Status.Term == Leadership.highestTerm();
 }
@@ -124,7 +117,7 @@
   if (Now < *ReplaceDueSince + Roles.PromotionDelay)
     return;
   // Avoids replacing a leaving primary that another host has already replaced.
-  std::optional<base::instance_id> Primary = primaryOfHighestTerm();
+  std::optional<base::instance_id> Primary = Leadership.leaderOfHighestTerm();
   bool CanReplace = IsLeaving ? doesPrimaryLead(Now)
                               : DemotedSince ||
                                     (Primary && isReachable(*Primary, Now)) ||
@@ -134,7 +127,7 @@
     startProbeIfDue(Now);
   else
     startPromotion(Now, !IsLeaving ? "primary is lost"
-                        : isEvacuated(Members.at(*Leadership.primary()))
+                        : isEvacuated(Members.at(*Leadership.leader()))
                             ? "primary is evacuated"
                             : "primary is leaving");
 }
@@ -164,7 +157,8 @@
 void group_supervisor::startPromotion(base::time_point Now,
                                       std::string_view Reason) {
   promotion_request Request;
-  if (std::optional<base::instance_id> Primary = primaryOfHighestTerm()) {
+  if (std::optional<base::instance_id> Primary =
+          Leadership.leaderOfHighestTerm()) {
     Request.OldPrimary = *Primary;
     Request.IsPrimaryReachable =
         DemotedSince.has_value() || isReachable(*Primary, Now);
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -292,6 +292,7 @@
   if (Answer.Outcome == base::store_outcome::Done)
     recordHistory(Answer.Version, {{"source", "tables"}}, Now);
   Store.answered(Call, Answer, Now);
+  ShouldServeWaiting = true; // the answer may prove a primary
   if (Members.hostsVersion() != HostsVersion)
     updateGroups(Now);
 }
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -135,6 +135,76 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_primary_was_replaced)
+
+/// A fleet in which r1 leads term 2 and does not answer status calls. The old
+/// primary p goes on, and r2 has not heard of the promotion.
+struct replaced_fleet : fake_fleet {
+  replaced_fleet() {
+    ask(connect("primary"), "write x 1");
+    instance("r2").Log = instance("p").Log;
+  }
+
+  void replace() {
+    instance("r1").Role = groups::instance_role::Primary;
+    instance("r1").Log = {2, 101};
+    instance("r1").RejectsStatusCalls = true;
+    Rows[{"promotions", "g"}] = {{"promotions", "g"},
+                                 100,
+                                 {{"holder", "h2/1"},
+                                  {"operation", "9"},
+                                  {"term", 1},
+                                  {"instance", "r1"},
+                                  {"done", true},
+                                  {"announced_term", 2}}};
+  }
+
+  bool hasReached(const std::string &Name, const std::string &Statement) const {
+    return std::ranges::any_of(Requests, [&](const auto &Sent) {
+      return Sent.first == base::instance_id(Name) &&
+             Sent.second.Verb == backend_verb::Forward &&
+             Sent.second.Text == Statement;
+    });
+  }
+};
+
+// Guards against writes that are acknowledged by the old primary and lost once
+// the promoted instance, whose entry has expired, is back (review/8).
+BOOST_FIXTURE_TEST_CASE(is_not_served_by_the_old_one_on_a_host_that_starts,
+                        replaced_fleet) {
+  replace();
+  instance("r1").IsUnresponsive = true;
+  listings().erase(base::instance_id("r1"));
+  startHost();
+  setCatalog(1);
+  publishListings();
+  advanceTime(2000ms);
+  BOOST_TEST((ask(connect("primary"), "write x 2").Error == refusal::Busy));
+  BOOST_TEST((ask(connect("primary"), "read x").Error == refusal::Busy));
+  BOOST_TEST(!hasReached("p", "write x 2"));
+  BOOST_TEST(!hasReached("p", "read x"));
+}
+
+// Guards against stale reads on a host that reaches the old primary while the
+// promoted instance is too busy for status calls: a replica that was deaf is no
+// longer fenced and has not heard of the new term (review/9).
+BOOST_FIXTURE_TEST_CASE(is_not_read_from_after_the_fences_are_gone,
+                        replaced_fleet) {
+  instance("r1").Fenced = 2;
+  instance("r2").Fenced = 2;
+  for (int Read = 0; Read < 10; ++Read) {
+    ask(connect("primary"), "read x");
+    advanceTime(100ms);
+  }
+  replace();
+  instance("r2").Fenced = 0;
+  Requests.clear();
+  ask(connect("primary"), "read x 2");
+  BOOST_TEST(!hasReached("p", "read x 2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(that_a_replica_has_left)
 
 /// A fleet whose replica r2, in the failure domain c, has announced that it is
--- a/packages/sessions/tests/failover_search_test.cpp
+++ b/packages/sessions/tests/failover_search_test.cpp
@@ -108,6 +108,20 @@
   BOOST_TEST(Promotions > 0U);
 }
 
+/// Plays one schedule on some seeds, which vary latencies and what clients do.
+void repeat(const std::vector<scheduled_fault> &Faults) {
+  constexpr std::uint64_t SeedCount = 20;
+  for (std::uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
+    simulated_fleet Fleet(Seed, Faults);
+    if (std::getenv("RADISHRELAY_SEARCH_TRACE"))
+      Fleet.enableTrace();
+    Fleet.run();
+    for (const broken_promise &Broken : Fleet.group().broken())
+      BOOST_ERROR("seed " + std::to_string(Seed) + ": " + Broken.Text);
+    BOOST_TEST(Fleet.group().promotions() > 0U);
+  }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(a_fleet_under_series_of_faults)
@@ -144,17 +158,21 @@
 // Guards against commits that are acknowledged with an instance which has
 // started inside a cut domain, where nobody outside can know of it.
 BOOST_AUTO_TEST_CASE(keeps_its_promises_when_a_primary_is_replaced_in_a_cut) {
-  constexpr std::uint64_t SeedCount = 20;
-  for (std::uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
-    simulated_fleet Fleet(Seed, {{fault_kind::CutDomain, 5000ms, 5500ms, 0},
-                                 {fault_kind::ReplacePrimary, 5700ms, 0ms, 0}});
-    if (std::getenv("RADISHRELAY_SEARCH_TRACE"))
-      Fleet.enableTrace();
-    Fleet.run();
-    for (const broken_promise &Broken : Fleet.group().broken())
-      BOOST_ERROR("seed " + std::to_string(Seed) + ": " + Broken.Text);
-    BOOST_TEST(Fleet.group().promotions() > 0U);
-  }
+  repeat({{fault_kind::CutDomain, 5000ms, 5500ms, 0},
+          {fault_kind::ReplacePrimary, 5700ms, 0ms, 0}});
+}
+
+// Guards against a host that starts while the promoted instance is down and
+// proves the old primary with a replica that has not heard of the promotion.
+BOOST_AUTO_TEST_CASE(
+    keeps_its_promises_when_a_host_starts_while_the_new_primary_is_down) {
+  std::vector<scheduled_fault> Faults{
+      {fault_kind::Deaf, 4700ms, 2700ms, 2},
+      {fault_kind::IsolatePrimary, 5000ms, 2400ms, 0},
+      {fault_kind::CrashPrimary, 7200ms, 6800ms, 0}};
+  for (std::size_t Host = 0; Host < 6; ++Host)
+    Faults.push_back({fault_kind::KillHost, 7450ms, 200ms, Host});
+  repeat(Faults);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/sessions/tests/leadership_test.cpp
+++ b/packages/sessions/tests/leadership_test.cpp
@@ -26,10 +26,38 @@
   void status(const base::instance_id &Instance, instance_role Role,
               groups::term_number Term, groups::term_number Fence,
               base::duration Time) {
-    Leadership.recordStatus(Instance, {Role, Term, {Term, 50}, Fence},
+    Leadership.recordStatus(Instance, {Role, Term, {Term, 50}, Fence}, at(Time),
                             at(Time));
   }
 
+  /// A commit on P that is acknowledged 10 ms after it was sent.
+  void commit(groups::log_position Position, base::duration Time) {
+    Leadership.recordCommit(P, Position, at(Time), at(Time + 10ms));
+  }
+
+  /// The claim, read by a call sent at \p Time, announces \p Term. An attempt
+  /// to promote is in progress.
+  void claim(groups::term_number Term, base::duration Time) {
+    Leadership.recordClaim({Term, true}, at(Time), at(Time));
+  }
+
+  /// The same without an attempt in progress.
+  void claimAtRest(groups::term_number Term, base::duration Time) {
+    Leadership.recordClaim({Term, false}, at(Time), at(Time));
+  }
+
+  /// The statuses of P and R1 prove P in term 1.
+  void prove(base::duration Time) {
+    status(P, instance_role::Primary, 1, 0, Time);
+    status(R1, instance_role::Replica, 1, 0, Time);
+  }
+
+  /// Begins a lease on P in term 1.
+  void beginLease(base::duration Time) {
+    prove(Time);
+    claim(1, Time);
+  }
+
   group_leadership Leadership;
 };
 
@@ -40,16 +68,27 @@
 BOOST_AUTO_TEST_SUITE(is_proved)
 
 BOOST_FIXTURE_TEST_CASE(by_an_acknowledged_commit, fixture) {
-  Leadership.recordCommit(P, {1, 7}, at(0ms));
+  commit({1, 7}, 0ms);
+  claim(1, 10ms);
   BOOST_TEST((Leadership.primary() == P));
   BOOST_TEST(Leadership.isProved(at(1000ms)));
   BOOST_TEST(!Leadership.isProved(at(1001ms)));
 }
 
+// Guards against stale reads from a replaced primary: a replica that has not
+// heard of the promotion still confirms its commits.
+BOOST_FIXTURE_TEST_CASE(not_by_a_commit_that_is_acknowledged_after_its_lease,
+                        fixture) {
+  beginLease(0ms);
+  commit({1, 7}, 995ms);
+  BOOST_TEST(!Leadership.isProved(at(1001ms)));
+}
+
 BOOST_FIXTURE_TEST_CASE(not_by_a_commit_that_may_be_on_no_replica, fixture) {
   Leadership.setCommitsReplicated(false);
-  Leadership.recordCommit(P, {1, 7}, at(0ms));
-  BOOST_TEST(!Leadership.isProved(at(0ms)));
+  commit({1, 7}, 0ms);
+  claim(1, 10ms);
+  BOOST_TEST(!Leadership.isProved(at(10ms)));
 }
 
 // Guards against a proof by a status that arrives after a later one, such as a
@@ -57,6 +96,7 @@
 BOOST_FIXTURE_TEST_CASE(not_anew_by_an_earlier_status, fixture) {
   status(P, instance_role::Primary, 1, 0, 500ms);
   status(R1, instance_role::Replica, 1, 0, 500ms);
+  claim(1, 500ms);
   status(R1, instance_role::Replica, 1, 2, 600ms);
   status(R1, instance_role::Replica, 1, 0, 500ms);
   status(P, instance_role::Primary, 1, 0, 900ms);
@@ -65,8 +105,10 @@
 
 BOOST_FIXTURE_TEST_CASE(by_the_status_of_two_instances, fixture) {
   status(P, instance_role::Primary, 1, 0, 0ms);
+  claim(1, 0ms);
   BOOST_TEST(!Leadership.isProved(at(0ms)));
   status(R1, instance_role::Replica, 1, 0, 10ms);
+  claim(1, 10ms);
   BOOST_TEST(Leadership.isProved(at(1000ms)));
   // The older of the two statuses counts.
   BOOST_TEST(!Leadership.isProved(at(1005ms)));
@@ -75,12 +117,14 @@
 BOOST_FIXTURE_TEST_CASE(not_by_a_replica_that_is_fenced, fixture) {
   status(P, instance_role::Primary, 1, 0, 0ms);
   status(R1, instance_role::Replica, 1, 2, 0ms);
+  claim(1, 0ms);
   BOOST_TEST(!Leadership.isProved(at(0ms)));
 }
 
 BOOST_FIXTURE_TEST_CASE(not_by_a_replica_of_a_newer_term, fixture) {
   status(P, instance_role::Primary, 1, 0, 0ms);
   status(R1, instance_role::Replica, 2, 0, 0ms);
+  claim(1, 0ms);
   BOOST_TEST(!Leadership.isProved(at(0ms)));
 }
 
@@ -89,24 +133,181 @@
   status(P, instance_role::Primary, 1, 0, 0ms);
   status(R1, instance_role::Primary, 2, 0, 0ms);
   status(R2, instance_role::Replica, 2, 0, 0ms);
+  claim(2, 0ms);
   BOOST_TEST((Leadership.primary() == R1));
-  Leadership.recordCommit(P, {1, 99}, at(5ms)); // a delayed answer
+  commit({1, 99}, 5ms); // a delayed answer
   BOOST_TEST((Leadership.primary() == R1));
 }
 
 BOOST_FIXTURE_TEST_CASE(no_longer_once_it_rejects_work_of_a_primary, fixture) {
-  Leadership.recordCommit(P, {1, 7}, at(0ms));
+  beginLease(0ms);
   Leadership.recordNotPrimary(P);
   BOOST_TEST(!Leadership.isProved(at(0ms)));
 }
 
+// Guards against leases on a replaced primary that begin with a replica which
+// has not heard of the promotion, on a host that has restarted or was idle.
+BOOST_AUTO_TEST_SUITE(by_a_lease_that_the_claim_confirms)
+
+BOOST_FIXTURE_TEST_CASE(and_not_before, fixture) {
+  prove(0ms);
+  BOOST_TEST(!Leadership.primary().has_value());
+  BOOST_TEST(Leadership.claimAwaitedSince(at(0ms)).has_value());
+  claim(1, 100ms);
+  BOOST_TEST((Leadership.primary() == P));
+  BOOST_TEST(Leadership.isProved(at(1000ms)));
+  BOOST_TEST(!Leadership.claimAwaitedSince(at(100ms)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(in_a_read_since_its_first_proof, fixture) {
+  prove(500ms);
+  Leadership.recordClaim({1, true}, at(499ms), at(520ms));
+  BOOST_TEST(!Leadership.isProved(at(520ms)));
+}
+
+BOOST_FIXTURE_TEST_CASE(in_a_read_before_it_while_no_attempt_can_have_ended,
+                        fixture) {
+  claimAtRest(1, 0ms);
+  prove(1000ms);
+  BOOST_TEST(Leadership.isProved(at(1000ms)));
+  prove(2001ms);
+  BOOST_TEST(!Leadership.isProved(at(2001ms)));
+}
+
+BOOST_FIXTURE_TEST_CASE(not_in_a_read_before_it_that_announces_a_later_term,
+                        fixture) {
+  claimAtRest(2, 0ms);
+  prove(500ms);
+  BOOST_TEST(!Leadership.isProved(at(500ms)));
+}
+
+BOOST_FIXTURE_TEST_CASE(even_if_the_store_answers_after_several_proofs,
+                        fixture) {
+  for (base::duration Time : {0ms, 900ms, 1800ms})
+    prove(Time);
+  Leadership.recordClaim({1, true}, at(0ms), at(2000ms));
+  BOOST_TEST(Leadership.isProved(at(2800ms)));
+  BOOST_TEST(!Leadership.isProved(at(2801ms)));
+}
+
+BOOST_FIXTURE_TEST_CASE(unless_it_announces_a_later_term, fixture) {
+  prove(0ms);
+  claim(2, 100ms);
+  BOOST_TEST(!Leadership.isProved(at(100ms)));
+  prove(200ms);
+  BOOST_TEST(!Leadership.claimAwaitedSince(at(200ms)).has_value());
+  // The order may have been withdrawn since.
+  prove(700ms);
+  claim(1, 700ms);
+  BOOST_TEST(Leadership.isProved(at(700ms)));
+}
+
+BOOST_FIXTURE_TEST_CASE(anew_if_a_proof_arrives_after_its_end, fixture) {
+  beginLease(0ms);
+  prove(1001ms);
+  BOOST_TEST(!Leadership.isProved(at(1001ms)));
+  claim(2, 1001ms);
+  BOOST_TEST(!Leadership.isProved(at(1001ms)));
+}
+
+BOOST_FIXTURE_TEST_CASE(and_not_anew_while_it_is_extended, fixture) {
+  beginLease(0ms);
+  prove(1000ms);
+  BOOST_TEST(Leadership.isProved(at(2000ms)));
+}
+
+BOOST_FIXTURE_TEST_CASE(anew_for_each_term, fixture) {
+  beginLease(0ms);
+  status(R1, instance_role::Primary, 2, 0, 500ms);
+  status(R2, instance_role::Replica, 2, 0, 500ms);
+  BOOST_TEST((Leadership.primary() == P));
+  claim(2, 500ms);
+  BOOST_TEST((Leadership.primary() == R1));
+}
+
+BOOST_FIXTURE_TEST_CASE(and_not_in_a_term_below_one_that_was_led, fixture) {
+  Leadership.recordTerm(2);
+  prove(0ms);
+  BOOST_TEST(!Leadership.claimAwaitedSince(at(0ms)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(or_by_all_members_while_the_store_is_away, fixture) {
+  claim(1, 0ms);
+  prove(5000ms);
+  Leadership.confirmByMembers(at(5000ms));
+  BOOST_TEST(!Leadership.isProved(at(5000ms)));
+  status(R2, instance_role::Replica, 1, 0, 5000ms);
+  Leadership.confirmByMembers(at(5000ms));
+  BOOST_TEST(Leadership.isProved(at(5000ms)));
+}
+
+// Guards against a promoted instance that is no member any more, or was never
+// known as one: a host that starts has read no claim.
+BOOST_FIXTURE_TEST_CASE(and_not_by_all_members_if_others_may_lead, fixture) {
+  auto ConfirmByMembers = [this](base::duration Time) {
+    prove(Time);
+    status(R2, instance_role::Replica, 1, 0, Time);
+    Leadership.confirmByMembers(at(Time));
+    return Leadership.isProved(at(Time));
+  };
+  BOOST_TEST(!ConfirmByMembers(0ms));
+  claim(1, 5000ms);
+  Leadership.recordMemberRemoved(at(15000ms));
+  BOOST_TEST(!ConfirmByMembers(20000ms));
+  claim(2, 25000ms);
+  BOOST_TEST(!ConfirmByMembers(30000ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(or_by_the_confirmed_lease_of_another_host, fixture) {
+  prove(800ms);
+  Leadership.recordProof(P, 1, at(500ms));
+  // The own lease continues the one of the other host.
+  BOOST_TEST(Leadership.isProved(at(1800ms)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against commits of a replaced primary that clients are told of.
+BOOST_AUTO_TEST_SUITE(has_led_when_it_acknowledged_a_commit)
+
+BOOST_FIXTURE_TEST_CASE(within_its_lease, fixture) {
+  beginLease(0ms);
+  BOOST_TEST((Leadership.ledAt(at(1000ms), P, 1) == true));
+  BOOST_TEST(!Leadership.ledAt(at(1001ms), P, 1).has_value());
+  BOOST_TEST(!Leadership.ledAt(at(500ms), R1, 1).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(if_the_claim_announces_no_later_term_afterwards,
+                        fixture) {
+  claim(1, 1999ms);
+  BOOST_TEST(!Leadership.ledAt(at(2000ms), P, 1).has_value());
+  claim(1, 2000ms);
+  BOOST_TEST((Leadership.ledAt(at(2000ms), P, 1) == true));
+  claim(2, 2001ms);
+  BOOST_TEST((Leadership.ledAt(at(2000ms), P, 1) == false));
+}
+
+BOOST_FIXTURE_TEST_CASE(soon_after_a_claim_without_an_attempt, fixture) {
+  claimAtRest(1, 0ms);
+  BOOST_TEST((Leadership.ledAt(at(1000ms), P, 1) == true));
+  BOOST_TEST(!Leadership.ledAt(at(1001ms), P, 1).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(and_not_if_a_later_term_is_known, fixture) {
+  Leadership.recordTerm(2);
+  BOOST_TEST((Leadership.ledAt(at(0ms), P, 1) == false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(reports_log_positions)
 
 BOOST_FIXTURE_TEST_CASE(and_the_oldest_one_since_a_time_point_is_returned,
                         fixture) {
-  Leadership.recordCommit(P, {1, 7}, at(0ms));
+  beginLease(0ms);
+  commit({1, 7}, 0ms);
   Leadership.recordPosition(P, {1, 8}, at(100ms));
   Leadership.recordPosition(P, {1, 9}, at(200ms));
   BOOST_TEST(
@@ -115,13 +316,15 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(that_are_recorded_only_while_it_is_proved, fixture) {
-  Leadership.recordCommit(P, {1, 7}, at(0ms));
+  beginLease(0ms);
+  commit({1, 7}, 0ms);
   Leadership.recordPosition(P, {1, 8}, at(1500ms));
   BOOST_TEST(!Leadership.positionSince(at(1400ms)).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(that_are_not_taken_from_another_instance, fixture) {
-  Leadership.recordCommit(P, {1, 7}, at(0ms));
+  beginLease(0ms);
+  commit({1, 7}, 0ms);
   Leadership.recordPosition(R1, {1, 8}, at(100ms));
   BOOST_TEST(!Leadership.positionSince(at(50ms)).has_value());
 }
