Answer a commit only once its primary is proved

Cause: a host took the acknowledgement of a replica for proof that no promotion had taken effect. A replica that was deaf during the promotion and lost its fence still receives the log of the old primary.

The answer to a commit now waits until a confirmed lease covers the time of its acknowledgement, or a read of the claim vouches for it. If a later term is known or announced, the commit is in doubt at once.

--- a/packages/sessions/include/radishrelay/sessions/detail/session_state.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/session_state.h
@@ -1,6 +1,7 @@
 #ifndef RADISHRELAY_SESSIONS_DETAIL_SESSION_STATE_H
 #define RADISHRELAY_SESSIONS_DETAIL_SESSION_STATE_H
 
+#include "radishrelay/sessions/backend_reply.h"
 #include "radishrelay/sessions/catalog.h"
 #include "radishrelay/sessions/client_answer.h"
 #include "radishrelay/sessions/client_message.h"
@@ -33,6 +34,19 @@
   AwaitingPermit,
   /// The statement has been sent to the instance.
   Running,
+  /// The instance has acknowledged a commit. Waits for a proof that it was the
+  /// primary then.
+  AwaitingProof,
+};
+
+/// A commit that an instance has acknowledged.
+struct acknowledged_commit {
+  base::instance_id Instance;
+  backend_reply Reply;
+  base::time_point AcknowledgedAt;
+
+  friend bool operator==(const acknowledged_commit &,
+                         const acknowledged_commit &) = default;
 };
 
 /// A client's statement that has not been answered yet.
@@ -62,6 +76,8 @@
   base::time_point NotBefore;
   /// Permit taken for a statement to a cold instance.
   std::optional<cold_permit> Permit;
+  /// Set in the stage AwaitingProof.
+  std::optional<acknowledged_commit> Commit;
 };
 
 /// A statement that a client prepared.
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -290,6 +290,13 @@
                     const backend_reply &Reply, base::time_point Now);
   void statementSucceeded(session &Session, connection &Connection,
                           const backend_reply &Reply, base::time_point Now);
+  /// Keeps the answer to an acknowledged commit until its primary is proved.
+  void awaitProof(session &Session, connection &Connection,
+                  const backend_reply &Reply, base::time_point Now);
+  /// Answers the commit that awaits a proof, if it is decided.
+  void completeCommit(session &Session, base::time_point Now);
+  void commitSucceeded(session &Session, const backend_reply &Reply,
+                       base::time_point Now);
   void statementFailed(session &Session, connection &Connection,
                        const backend_reply &Reply, base::time_point Now);
   void abandonWait(session &Session, const std::string &Reason,
--- a/packages/sessions/src/session_failures.cpp
+++ b/packages/sessions/src/session_failures.cpp
@@ -104,6 +104,9 @@
     answerError(Session, refusal::Busy,
                 "no connection to the instance was open in time", Now);
     return;
+  case stage::AwaitingProof:
+    completeCommit(Session, Now);
+    return;
   default:
     if (!extendCommit(Session, Now))
       statementTimedOut(Session, Now);
--- a/packages/sessions/src/session_replies.cpp
+++ b/packages/sessions/src/session_replies.cpp
@@ -18,6 +18,8 @@
 constexpr base::duration MaxLagPause = std::chrono::milliseconds(640);
 /// Time after a misrouted request during which reads prefer other instances.
 constexpr base::duration FailurePause = std::chrono::milliseconds(1000);
+/// Interval at which a proof is requested for a commit that waits for one.
+constexpr base::duration CommitProofInterval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -342,9 +344,10 @@
                 "no listed replica was seen while the commit ran", Now);
     return;
   }
-  if (HasCommitted && Reply.Position) {
-    Session.LastCommit = Reply.Position;
-    Session.CommitGroup = Connection.Group;
+  if (CommitGroup && CommitGroup->isCommitProved(Connection.Instance,
+                                                 Reply.Position, Now) != true) {
+    awaitProof(Session, Connection, Reply, Now);
+    return;
   }
   if (!IsCommit && !Operation.IsWrite) {
     supervisor *Group = groupOf(Connection.Group);
@@ -352,6 +355,11 @@
         Group && Group->leadership().primary() == Connection.Instance;
     ++(IsPrimary ? Counters.ReadsOnPrimaries : Counters.ReadsOnReplicas);
   }
+  if (HasCommitted) {
+    returnToPool(Connection, Reply.Phase, Now);
+    commitSucceeded(Session, Reply, Now);
+    return;
+  }
   client_answer Answer;
   Answer.Rows = Reply.Rows;
   Answer.Receipt = Reply.Receipt;
@@ -367,6 +375,56 @@
   answer(Session, std::move(Answer), Now);
 }
 
+void session_engine::awaitProof(session &Session, connection &Connection,
+                                const backend_reply &Reply,
+                                base::time_point Now) {
+  operation &Operation = *Session.Current;
+  Operation.Stage = stage::AwaitingProof;
+  Operation.Commit = {Connection.Instance, Reply, Now};
+  returnToPool(Connection, Reply.Phase, Now);
+  Session.Transaction.Connection.reset();
+  Session.Transaction.HasBegun = false;
+  detach(Session);
+  Waiting.emplace(Session.Route.Priority, Operation.ReceivedAt, Session.Number);
+  completeCommit(Session, Now);
+}
+
+void session_engine::completeCommit(session &Session, base::time_point Now) {
+  operation &Operation = *Session.Current;
+  supervisor *Group = groupOf(Session.Route.Group);
+  base::time_point Limit =
+      Operation.ReceivedAt + Session.Route.StatementTimeout;
+  std::optional<bool> IsProved =
+      Group ? Group->isCommitProved(Operation.Commit->Instance,
+                                    Operation.Commit->Reply.Position,
+                                    Operation.Commit->AcknowledgedAt)
+            : false;
+  if (IsProved == true) {
+    commitSucceeded(Session, backend_reply(Operation.Commit->Reply), Now);
+  } else if (IsProved == false || Now >= Limit) {
+    answerError(Session, refusal::InDoubt,
+                "the instance is not proved to have been the primary", Now);
+  } else {
+    Group->requestCommitProof(Operation.Commit->AcknowledgedAt, Now);
+    setWake(Session, std::min(Limit, Now + CommitProofInterval));
+  }
+}
+
+void session_engine::commitSucceeded(session &Session,
+                                     const backend_reply &Reply,
+                                     base::time_point Now) {
+  if (Reply.Position) {
+    Session.LastCommit = Reply.Position;
+    Session.CommitGroup = Session.Route.Group;
+  }
+  client_answer Answer;
+  Answer.Rows = Reply.Rows;
+  Answer.Receipt = Reply.Receipt;
+  Session.Transaction = {};
+  Session.Phase = session_phase::Idle;
+  answer(Session, std::move(Answer), Now);
+}
+
 void session_engine::statementFailed(session &Session, connection &Connection,
                                      const backend_reply &Reply,
                                      base::time_point Now) {
--- a/packages/sessions/src/session_routing.cpp
+++ b/packages/sessions/src/session_routing.cpp
@@ -217,9 +217,9 @@
   }
   Group->requestProof(Now);
   std::optional<base::instance_id> Primary = Group->usablePrimary(Now);
-  // A write outside a transaction needs no proved primary: a replaced primary
-  // acknowledges no write, and an acknowledgement proves the primary. Hosts in
-  // the failure domain of the primary wait for a proof; see commitAwaitedUntil.
+  // A write outside a transaction needs no proved primary, since its commit is
+  // answered only once the primary is proved. Hosts in the failure domain of
+  // the primary wait for a proof first; see commitAwaitedUntil.
   bool IsSingleWrite =
       Operation.IsWrite && Session.Phase == session_phase::Idle;
   if (!Primary && IsSingleWrite)
@@ -468,7 +468,11 @@
   for (bool IsOwnAccountOnly : {true, false})
     for (session_number Number : Numbers) {
       auto Entry = Sessions.find(Number);
-      if (Entry == Sessions.end() || !Entry->second.Current ||
+      if (Entry == Sessions.end() || !Entry->second.Current)
+        continue;
+      if (Entry->second.Current->Stage == stage::AwaitingProof)
+        completeCommit(Entry->second, Now);
+      if (!Entry->second.Current ||
           Entry->second.Current->Stage != stage::AwaitingInstance)
         continue;
       bool IsWithinDelay =
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -203,6 +203,55 @@
   BOOST_TEST(!hasReached("p", "read x 2"));
 }
 
+// Guards against commits of the old primary, confirmed by a replica that has
+// not heard of the promotion, of which clients are told.
+BOOST_FIXTURE_TEST_CASE(leaves_a_commit_on_the_old_one_in_doubt,
+                        replaced_fleet) {
+  send(connect("primary"), "read x");
+  runHeld();
+  advanceTime(5000ms); // the lease runs out
+  session_number Session = connect("primary");
+  replace();
+  instance("p").RejectsStatusCalls = true;
+  send(Session, "write x 2");
+  BOOST_REQUIRE(held().size() == 1U);
+  runHeld();
+  advanceTime(200ms);
+  std::vector<client_answer> Answers = answers(Session);
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST((Answers[0].Error == refusal::InDoubt));
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_a_commit_once_the_claim_can_be_read,
+                        replaced_fleet) {
+  advanceTime(5000ms); // the lease runs out
+  for (const char *Name : {"p", "r1", "r2"})
+    instance(Name).RejectsStatusCalls = true;
+  IsStoreDown = true;
+  session_number Session = connect("primary");
+  send(Session, "write x 2");
+  runHeld();
+  advanceTime(200ms);
+  BOOST_TEST(answers(Session).empty());
+  IsStoreDown = false;
+  advanceTime(200ms);
+  std::vector<client_answer> Answers = answers(Session);
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST(!Answers[0].Error.has_value());
+}
+
+// Guards against an interruption of service while the store is away.
+BOOST_FIXTURE_TEST_CASE(
+    or_not_is_shown_by_all_instances_while_the_store_is_away, replaced_fleet) {
+  advanceTime(5000ms); // the lease runs out
+  IsStoreDown = true;
+  BOOST_TEST(!ask(connect("primary"), "write x 2").Error.has_value());
+  BOOST_TEST(!ask(connect("primary"), "read x").Error.has_value());
+  advanceTime(5000ms);
+  instance("r1").IsUnresponsive = true;
+  BOOST_TEST(!ask(connect("primary"), "read x").Error.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(that_a_replica_has_left)
--- a/packages/sessions/tests/failover_search_test.cpp
+++ b/packages/sessions/tests/failover_search_test.cpp
@@ -175,6 +175,15 @@
   repeat(Faults);
 }
 
+// Guards against a replica that has been deaf during a promotion and proves the
+// old primary once more, or confirms its commits.
+BOOST_AUTO_TEST_CASE(
+    keeps_its_promises_when_a_replica_has_not_heard_of_a_promotion) {
+  repeat({{fault_kind::CutDomain, 2100ms, 6200ms, 0},
+          {fault_kind::Deaf, 2500ms, 5800ms, 2},
+          {fault_kind::IsolatePrimary, 8000ms, 6000ms, 0}});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace radishrelay::sessions::tests
