Require the confirmed primary for the position of a promotion

Cause: with promotions going on from an unconfirmed leader, the position that a replica must have reached could be one of an earlier term, recorded under an earlier lease; commits of the new leader could be lost.

--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -48,7 +48,7 @@
 /// Time between an answer to a read of the claim and the next read.
 constexpr base::duration ClaimReadInterval = std::chrono::milliseconds(50);
 /// Time after the last request for its proof for which a commit counts as
-/// waiting. Longer than the interval of these requests.
+/// waiting. Longer than CommitProofInterval, at which it is requested.
 constexpr base::duration CommitProofLifetime = std::chrono::milliseconds(60);
 /// More than the number of hosts of one failure domain.
 constexpr std::size_t MaxOpenRequests = 256;
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -55,7 +55,9 @@
 replica_knowledge
 group_supervisor::replicaKnowledge(base::time_point Now) const {
   replica_knowledge Knowledge;
-  if (Leadership.leaderOfHighestTerm())
+  // Positions are recorded under confirmed leases; those of an earlier term say
+  // nothing about commits of a leader that is not confirmed yet.
+  if (Leadership.primary() && Leadership.term() == Leadership.highestTerm())
     Knowledge.NeededPosition = Leadership.positionSince(ReplicasChangedAt);
   Knowledge.IsListComplete = IsListComplete && !isSuccessorAwaited(Now);
   return Knowledge;
