Take a refused connection for an answer of its instance

Cause: an instance at its connection limit answers a new connection with TOOMANY, which did not count as an answer, and neither did an answer in doubt.

Both now count as answers.

--- a/packages/sessions/src/session_replies.cpp
+++ b/packages/sessions/src/session_replies.cpp
@@ -78,6 +78,10 @@
     recordRefusal(Instance, *Reason, Now);
   else if (Group && !WasIdle)
     Group->recordFailure(Instance, Now);
+  // An instance that refuses a connection has answered; one that is full must
+  // not be taken for lost.
+  if (Reason && Group)
+    Group->recordAnswer(Instance, Now);
   auto Entry = Owner ? Sessions.find(*Owner) : Sessions.end();
   if (Entry != Sessions.end())
     connectionLost(Entry->second, Instance, Reason, Now);
@@ -158,6 +162,8 @@
   if (std::optional<answer_doubt> Doubt = checkAnswer(*Connection, Reply)) {
     // Later answers on the connection cannot be matched to their requests.
     Doubts.record(*Connection, *Doubt, &Reply);
+    if (supervisor *Group = groupOf(Connection->Group))
+      Group->recordAnswer(Connection->Instance, Now);
     if (!isAboutError(*Doubt) || mayCommit(*Connection)) {
       closeInDoubt(*Connection, Now);
       return;
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -21,6 +21,12 @@
   return MaxGap;
 }
 
+bool hasVoted(const fake_fleet &Fleet) {
+  return std::ranges::any_of(Fleet.StateChanges, [](const std::string &Line) {
+    return Line.find("vote for a promotion") != std::string::npos;
+  });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(a_group)
@@ -254,6 +260,21 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against promotions of a group whose primary has too many connections
+// for any status call.
+BOOST_FIXTURE_TEST_CASE(is_not_lost_while_it_refuses_connections, fake_fleet) {
+  session_number Session = connect("primary");
+  ask(Session, "read x");
+  instance("p").RejectsConnections = true;
+  instance("p").RejectsStatusCalls = true;
+  for (const auto &[Connection, Instance] : std::map(Open))
+    loseConnection(Connection);
+  for (int Round = 0; Round < 20; ++Round)
+    ask(connect("primary"), "read x");
+  BOOST_TEST(PromotionOrders.empty());
+  BOOST_TEST(!hasVoted(*this));
+}
+
 BOOST_AUTO_TEST_SUITE(that_a_replica_has_left)
 
 /// A fleet whose replica r2, in the failure domain c, has announced that it is
--- a/packages/sessions/tests/fake_fleet.cpp
+++ b/packages/sessions/tests/fake_fleet.cpp
@@ -239,8 +239,14 @@
   Phases[Connection] = session_phase::Idle;
   PendingTasks.push_back([this, Connection] {
     auto Entry = Open.find(Connection);
-    if (Entry != Open.end() && !Instances.at(Entry->second).IsUnresponsive)
+    if (Entry == Open.end() || Instances.at(Entry->second).IsUnresponsive)
+      return;
+    if (!Instances.at(Entry->second).RejectsConnections) {
       Engine->backendOpened(Connection, Now);
+      return;
+    }
+    Open.erase(Entry);
+    Engine->backendLost(Connection, refusal::TooMany, Now);
   });
 }
 
--- a/packages/sessions/tests/support/fake_fleet.h
+++ b/packages/sessions/tests/support/fake_fleet.h
@@ -20,6 +20,8 @@
   groups::term_number Fenced = 0;
   /// Whether the instance answers no request and accepts no connection.
   bool IsUnresponsive = false;
+  /// Whether new connections are rejected since there are too many.
+  bool RejectsConnections = false;
   /// Whether status calls are rejected as busy.
   bool RejectsStatusCalls = false;
   /// If set, requests that run a statement or begin a transaction are rejected
