Simulate fleets of several groups and of any size

The simulation knew six hosts and one group, so it could not show a cost that grows with hosts times groups. Its size and the load of its clients are now parameters; it counts calls to the store by table and errors by host.

--- a/packages/sessions/tests/failover_search_test.cpp
+++ b/packages/sessions/tests/failover_search_test.cpp
@@ -31,7 +31,7 @@
 /// Returns the first promise that the schedule breaks, if any.
 std::string brokenPromise(const search_case &Case, std::uint64_t Seed,
                           const std::vector<scheduled_fault> &Faults) {
-  simulated_fleet Fleet(Seed, Faults, Case.Habit(Seed));
+  simulated_fleet Fleet(Seed, Faults, {.Habit = Case.Habit(Seed)});
   Fleet.run();
   return Fleet.group().broken().empty() ? std::string()
                                         : Fleet.group().broken().front().Text;
@@ -84,7 +84,7 @@
   std::uint64_t Promotions = 0;
   std::uint64_t Failures = 0;
   for (; Steps < MaxSteps; ++Seed) {
-    simulated_fleet Fleet(Seed, Case.Draw(Seed), Case.Habit(Seed));
+    simulated_fleet Fleet(Seed, Case.Draw(Seed), {.Habit = Case.Habit(Seed)});
     if (std::getenv("RADISHRELAY_SEARCH_TRACE"))
       Fleet.enableTrace();
     Fleet.run();
--- a/packages/sessions/tests/simulated_clients.cpp
+++ b/packages/sessions/tests/simulated_clients.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr base::duration ClientPause = 15ms;
 constexpr base::duration ClientTimeout = 2000ms;
 
 using enum client_step;
@@ -39,9 +38,15 @@
     Route = "recent";
     Client.Staleness = simulated_world::RecentStaleness;
   }
+  const auto &Groups = World.Groups.all();
+  Client.Group = Groups.front().get();
+  if (Groups.size() > 1)
+    Client.Group = Groups[World.Random.below(Groups.size())].get();
+  if (Client.Group != Groups.front().get())
+    Route += Client.Group->id().str();
   Engine->clientMessage(Client.Session, start_session{Route, "key-1"},
                         World.Queue.now());
-  deliverIn(ClientPause, [this, Index] { runClient(Index); });
+  deliverIn(World.Load.Pause, [this, Index] { runClient(Index); });
 }
 
 void simulated_host::runClient(std::size_t Index) {
@@ -130,7 +135,7 @@
                                     const client_answer &Answer) {
   client &Client = Clients[Index];
   if (Client.Step == Idle) {
-    World.Group.recordUnasked(Name);
+    Client.Group->recordUnasked(Name);
     return;
   }
   if (Answer.Error) {
@@ -148,25 +153,26 @@
     }
   }
   Client.Step = Idle;
-  deliverIn(ClientPause, [this, Index] { runClient(Index); });
+  deliverIn(World.Load.Pause, [this, Index] { runClient(Index); });
 }
 
 bool simulated_host::clientRefused(const client &Client, refusal Reason) {
   if (guaranteesNoEffect(Reason) && Client.Step != Reading)
-    World.Group.recordRefused(Client.Write);
+    Client.Group->recordRefused(Client.Write);
   ++World.WritesFailed;
+  ++World.Refusals[Name];
   return Client.Step != Reading && Client.Step != Writing;
 }
 
 void simulated_host::clientSucceeded(const client &Client,
                                      const client_answer &Answer) {
   if (hasReceipt(Client.Step))
-    World.Group.recordSuccess(Client.Statement, Answer);
+    Client.Group->recordSuccess(Client.Statement, Answer);
   if (Client.Step == RollingBack)
-    World.Group.recordRefused(Client.Write);
+    Client.Group->recordRefused(Client.Write);
   if (Client.Step == Writing || Client.Step == Committing) {
     ++World.WritesDone;
-    World.Group.recordSucceeded(Client.Write);
+    Client.Group->recordSucceeded(Client.Write);
   }
 }
 
--- a/packages/sessions/tests/simulated_fleet.cpp
+++ b/packages/sessions/tests/simulated_fleet.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr std::array<const char *, 3> Domains{"a", "b", "c"};
-constexpr std::size_t HostsPerDomain = 2;
+constexpr std::array<const char *, 5> DomainNames{"a", "b", "c", "d", "e"};
+constexpr std::size_t InstancesPerGroup = 3;
 /// Time from the announcement that an instance leaves to its end.
 constexpr base::duration LeavingTime = 7500ms;
 /// Time from that announcement to the start of the instance that replaces it.
@@ -49,23 +49,31 @@
   });
 }
 
-std::shared_ptr<const catalog> makeCatalog(client_habit Habit, bool IsLimited) {
-  catalog Result;
-  Result.Version = 1;
+void addGroup(catalog &Catalog, const base::group_id &Group, client_habit Habit,
+              bool IsLimited) {
+  std::string Suffix = Catalog.Groups.empty() ? "" : Group.str();
   session_route Route;
-  Route.Name = "primary";
-  Route.Group = base::group_id("g");
+  Route.Name = "primary" + Suffix;
+  Route.Group = Group;
   Route.Consistency = read_consistency::Primary;
   Route.StatementTimeout = 800ms;
   Route.TargetLatency = 200ms;
-  Result.Routes["primary"] = Route;
+  Catalog.Routes[Route.Name] = Route;
   if (Habit != client_habit::Plain) {
-    Route.Name = "recent";
+    Route.Name = "recent" + Suffix;
     Route.Consistency = read_consistency::BoundedStaleness;
     Route.MaxStaleness = simulated_world::RecentStaleness;
-    Result.Routes["recent"] = Route;
+    Catalog.Routes[Route.Name] = Route;
   }
-  Result.Groups[base::group_id("g")] = {48, 1, IsLimited ? ColdRate : 0};
+  Catalog.Groups[Group] = {48, 1, IsLimited ? ColdRate : 0};
+}
+
+std::shared_ptr<const catalog> makeCatalog(const simulated_groups &Groups,
+                                           client_habit Habit, bool IsLimited) {
+  catalog Result;
+  Result.Version = 1;
+  for (const auto &Group : Groups.all())
+    addGroup(Result, Group->id(), Habit, IsLimited);
   Result.Limits[base::account_id("t1")] = {base::account_id("t1"), 100000,
                                            100000};
   Result.Keys["key-1"] = base::account_id("t1");
@@ -195,16 +203,25 @@
 
 simulated_fleet::simulated_fleet(std::uint64_t Seed,
                                  std::vector<scheduled_fault> Faults,
-                                 client_habit Habit)
-    : Random(Seed), Group(Queue, Network, Random), Store(Queue, Network, Group),
-      World{Queue, Network, Random,
-            Group, Store,   makeCatalog(Habit, hasEvacuations(Faults)),
-            {},    {},      {},
-            {}},
+                                 fleet_shape Shape)
+    : Random(Seed), Shape(Shape),
+      Group(Groups.add(
+          std::make_unique<simulated_group>(Queue, Network, Random, "g"))),
+      Store(Queue, Network, Groups), World{Queue, Network, Random, Groups,
+                                           Store, {},      {},     {},
+                                           {},    {}},
       Faults(std::move(Faults)), StartedAt(Queue.now() + WarmUp) {
-  World.Habit = Habit;
-  for (const char *Domain : Domains)
-    Group.add(Domain);
+  World.Habit = Shape.Habit;
+  World.Load = Shape.Load;
+  for (std::size_t Index = 1; Index < Shape.Groups; ++Index)
+    Groups.add(std::make_unique<simulated_group>(Queue, Network, Random,
+                                                 "g" + std::to_string(Index)));
+  World.Configuration =
+      makeCatalog(Groups, Shape.Habit, hasEvacuations(this->Faults));
+  std::size_t Position = 0;
+  for (const auto &Each : Groups.all())
+    for (std::size_t Count = 0; Count < InstancesPerGroup; ++Count)
+      Each->add(domainAt(Position++));
   if (hasEvacuations(this->Faults))
     Group.setColdTime(ColdTime);
   World.Claimed = [this](const std::string &Name) {
@@ -226,14 +243,14 @@
   World.SendDatagram =
       [this](const std::string &From, const std::string &Address,
              const std::string &Bytes) { sendDatagram(From, Address, Bytes); };
-  for (std::size_t Index = 0; Index < Domains.size() * HostsPerDomain;
-       ++Index) {
+  for (std::size_t Index = 0; Index < Shape.Hosts; ++Index) {
     std::string Domain = domainAt(Index);
     std::string Name = "h" + std::to_string(Index + 1);
     // The fleet is already known, so that roles are assigned at once.
     Store.put({"members", Name},
               {{"domain", Domain}, {"address", Name + ":1"}});
     Hosts.push_back(std::make_unique<simulated_host>(World, Name, Domain));
+    HostsByAddress[Name + ":1"] = Hosts.back().get();
   }
   for (const auto &Host : Hosts)
     Host->start();
@@ -255,8 +272,8 @@
   Group.Trace = Print;
 }
 
-std::string simulated_fleet::domainAt(std::size_t Index) {
-  return Domains.at(Index % Domains.size());
+std::string simulated_fleet::domainAt(std::size_t Index) const {
+  return DomainNames.at(Index % Shape.Domains);
 }
 
 base::instance_id simulated_fleet::instanceAt(std::size_t Index) const {
@@ -271,17 +288,15 @@
 void simulated_fleet::sendDatagram(const std::string &From,
                                    const std::string &Address,
                                    const std::string &Bytes) {
-  for (const auto &Host : Hosts) {
-    bool IsTarget = Host->name() + ":1" == Address;
-    constexpr double LossRate = 0.002;
-    if (!IsTarget || Random.chance(LossRate))
-      continue;
-    Queue.scheduleIn(Network.latency(From, Host->name()),
-                     [this, From, Target = Host.get(), Bytes] {
-                       if (Network.reaches(From, Target->name()))
-                         Target->receiveDatagram(Bytes);
-                     });
-  }
+  constexpr double LossRate = 0.002;
+  auto Entry = HostsByAddress.find(Address);
+  if (Entry == HostsByAddress.end() || Random.chance(LossRate))
+    return;
+  Queue.scheduleIn(Network.latency(From, Entry->second->name()),
+                   [this, From, Target = Entry->second, Bytes] {
+                     if (Network.reaches(From, Target->name()))
+                       Target->receiveDatagram(Bytes);
+                   });
 }
 
 void simulated_fleet::release(const base::instance_id &Id) {
@@ -400,7 +415,7 @@
 
 void simulated_fleet::checkColdArrival(const std::string &Host,
                                        const base::instance_id &Id) {
-  std::size_t Count = Group.countColdArrival(Id);
+  std::size_t Count = Groups.of(Id).countColdArrival(Id);
   if (Count == 0 || !Store.listsCold(Id)) {
     ListedColdAt.erase(Id);
     return;
@@ -509,4 +524,23 @@
   }
 }
 
+void simulated_fleet::runFor(base::duration Time) {
+  base::time_point End = Queue.now() + Time;
+  while (Queue.runNext(End)) {
+  }
+}
+
+void simulated_fleet::crashPrimaries(base::duration Time) {
+  for (const auto &Each : Groups.all()) {
+    base::instance_id Id = Each->leader();
+    Each->crash(Id);
+    Queue.scheduleIn(Time, [Target = Each.get(), Id] { Target->restart(Id); });
+  }
+}
+
+void simulated_fleet::setHostsCut(std::size_t Interval, bool IsCut) {
+  for (std::size_t Index = 0; Index < Hosts.size(); Index += Interval)
+    Network.setIsolatedHost(Hosts[Index]->name(), IsCut);
+}
+
 } // namespace radishrelay::sessions::tests
--- a/packages/sessions/tests/simulated_group.cpp
+++ b/packages/sessions/tests/simulated_group.cpp
@@ -33,19 +33,27 @@
   return {Instance.Term, Instance.Log.size()};
 }
 
+simulated_group &simulated_groups::of(const base::instance_id &Id) const {
+  return **std::ranges::find_if(
+      All, [&](const auto &Group) { return Group->instances().contains(Id); });
+}
+
 simulated_group::simulated_group(event_queue &Queue, simulated_network &Network,
-                                 base::random_generator &Random)
-    : Queue(Queue), Network(Network), Random(Random) {
+                                 base::random_generator &Random,
+                                 const std::string &Name)
+    : Queue(Queue), Network(Network), Random(Random), Group(Name) {
   Queue.scheduleIn(TickInterval, [this] { tick(); });
 }
 
 base::instance_id simulated_group::add(const std::string &Domain) {
-  base::instance_id Id("i-" + std::to_string(++LastInstance));
+  // The first group is "g", a further one "g7", with instances "i7-1".
+  base::instance_id Id("i" + Group.str().substr(1) + "-" +
+                       std::to_string(++LastInstance));
   Network.place(Id.str(), Domain);
   Network.markInstance(Id.str());
   simulated_instance &Instance = Instances[Id];
   Instance.Listing.Instance = Id;
-  Instance.Listing.Group = base::group_id("g");
+  Instance.Listing.Group = Group;
   Instance.Listing.Address = Id.str() + ":1";
   Instance.Listing.Domain = base::failure_domain_id(Domain);
   Instance.Listing.StartedAt = base::toMicroseconds(Queue.now()) / 1000;
--- a/packages/sessions/tests/simulated_host.cpp
+++ b/packages/sessions/tests/simulated_host.cpp
@@ -6,18 +6,28 @@
 
 namespace {
 
-constexpr std::size_t ClientsPerHost = 2;
 constexpr base::duration PollInterval = 30ms;
 constexpr base::duration StoreTime = 4ms;
 /// Time after which a call that got no answer from the store has failed.
 constexpr base::duration StoreCallTimeout = 1000ms;
 constexpr base::duration HandshakeTime = 12ms;
 
+/// "read TABLE" or "write TABLE".
+std::string callName(const base::store_request &Request) {
+  if (const auto *Row = std::get_if<base::read_row>(&Request))
+    return "read " + Row->Key.Table;
+  if (const auto *Table = std::get_if<base::read_table>(&Request))
+    return "read " + Table->Table;
+  const auto &Writes = std::get<base::store_transaction>(Request).Writes;
+  return "write " + (Writes.empty() ? "" : Writes.front().Key.Table);
+}
+
 } // namespace
 
 simulated_host::simulated_host(simulated_world &World, const std::string &Name,
                                const std::string &Domain)
-    : World(World), Name(Name), Domain(Domain), Clients(ClientsPerHost) {
+    : World(World), Name(Name), Domain(Domain),
+      Clients(World.Load.ClientsPerHost) {
   World.Network.place(Name, Domain);
 }
 
@@ -41,7 +51,7 @@
 void simulated_host::kill() {
   WakeAt = base::time_point::max();
   for (const auto &[Number, Connection] : Open)
-    World.Group.endConnection(connectionName(Number));
+    World.Groups.of(Connection.Instance).endConnection(connectionName(Number));
   ++Run;
   Engine.reset();
   Open.clear();
@@ -106,8 +116,9 @@
     if (Run != AtRun || Entry == Open.end() ||
         !World.Network.reaches(Name, Target))
       return;
-    const simulated_instance &Instance =
-        World.Group.instances().at(Entry->second.Instance);
+    const simulated_instance &Instance = World.Groups.of(Entry->second.Instance)
+                                             .instances()
+                                             .at(Entry->second.Instance);
     if (!Instance.IsRunning) {
       deliverIn(Latency, [this, Number] { loseConnection(Number); });
       return;
@@ -141,8 +152,9 @@
     bool IsHostsRun = Run == AtRun;
     if (IsHostsRun && Current == Open.end())
       return;
+    simulated_group &Group = World.Groups.of(base::instance_id(Target));
     const simulated_instance &Instance =
-        World.Group.instances().at(base::instance_id(Target));
+        Group.instances().at(base::instance_id(Target));
     if (!IsHostsRun || !Instance.IsRunning ||
         Instance.Run != Current->second.Run) {
       if (IsHostsRun && World.Network.reaches(Name, Target))
@@ -156,7 +168,7 @@
                        Request.Verb == backend_verb::BeginReadOnly;
     if (IsStatement)
       World.StatementArrived(Name, Instance, !Request.Id.empty());
-    World.Group.execute(
+    Group.execute(
         base::instance_id(Target), connectionName(Number), Request,
         [this, AtRun, Number, Verb = Request.Verb](const backend_reply &Reply) {
           return Run == AtRun && receiveReply(Number, Verb, Reply);
@@ -181,7 +193,8 @@
   Entry->second.Arrivals.push_back(Entry->second.LastAnswer);
   deliverIn(Latency, [this, Number, Reply] { deliverReply(Number, Reply); });
   if (std::optional<base::duration> Delay =
-          World.Group.drawSecondAnswer(Entry->second.Instance, Verb))
+          World.Groups.of(Entry->second.Instance)
+              .drawSecondAnswer(Entry->second.Instance, Verb))
     sendAgain(Number, Verb, Reply, *Delay);
   return true;
 }
@@ -211,8 +224,9 @@
     if (Run != AtRun || Entry == Open.end() || Entry->second.IsSilent)
       return;
     open_connection &Connection = Entry->second;
-    const simulated_instance &Instance =
-        World.Group.instances().at(Connection.Instance);
+    const simulated_instance &Instance = World.Groups.of(Connection.Instance)
+                                             .instances()
+                                             .at(Connection.Instance);
     if (!Instance.IsRunning || Instance.Run != Connection.Run)
       return;
     std::string Target = Connection.Instance.str();
@@ -246,15 +260,17 @@
 }
 
 void simulated_host::loseConnection(backend_number Number) {
-  if (Open.erase(Number) == 0)
+  if (!Open.contains(Number))
     return;
-  World.Group.endConnection(connectionName(Number));
+  close(Number);
   Engine->backendLost(Number, std::nullopt, World.Queue.now());
 }
 
 void simulated_host::close(backend_number Number) {
-  Open.erase(Number);
-  World.Group.endConnection(connectionName(Number));
+  auto Entry = Open.extract(Number);
+  if (!Entry.empty())
+    World.Groups.of(Entry.mapped().Instance)
+        .endConnection(connectionName(Number));
 }
 
 // Calls to the platform.
@@ -262,6 +278,7 @@
 void simulated_host::execute(store_call_number Call,
                              const base::store_request &Request) {
   base::time_point SentAt = World.Queue.now();
+  ++World.StoreCalls[callName(Request)];
   World.Queue.scheduleIn(StoreTime, [this, AtRun = Run, Call, Request, SentAt] {
     if (Run != AtRun)
       return;
@@ -308,8 +325,9 @@
 
 bool simulated_host::receiveOrder(const base::instance_id &Instance,
                                   std::uint64_t Generation) {
-  World.Group.recordOrder(Name, Generation);
-  return World.Group.promote(Instance);
+  simulated_group &Group = World.Groups.of(Instance);
+  Group.recordOrder(Name, Generation);
+  return Group.promote(Instance);
 }
 
 void simulated_host::holdUpOrder(const base::instance_id &Instance,
--- a/packages/sessions/tests/simulated_store.cpp
+++ b/packages/sessions/tests/simulated_store.cpp
@@ -17,8 +17,8 @@
 } // namespace
 
 simulated_store::simulated_store(event_queue &Queue, simulated_network &Network,
-                                 simulated_group &Group)
-    : Queue(Queue), Network(Network), Group(Group) {
+                                 const simulated_groups &Groups)
+    : Queue(Queue), Network(Network), Groups(Groups) {
   Network.place(Node, simulated_network::PlatformDomain);
   tick();
 }
@@ -62,30 +62,36 @@
     Entry.ReportedAt = Queue.now();
 }
 
+void simulated_store::takeReport(const simulated_instance &Instance) {
+  const base::instance_id &Id = Instance.Listing.Instance;
+  bool Reaches =
+      Instance.IsRunning && !IsDown && Network.reaches(Id.str(), Node);
+  if (!Reaches)
+    return;
+  instance_listing Listing = Instance.Listing;
+  Listing.Role = Instance.Role;
+  Listing.ColdTime =
+      std::max(base::duration{}, Instance.ColdUntil - Queue.now());
+  auto Known = Entries.find(Id);
+  bool IsChanged =
+      Known == Entries.end() || !Known->second.Listing.hasSameContent(Listing);
+  bool IsDue =
+      IsChanged || Queue.now() >= Known->second.ReportedAt + ReportInterval;
+  if (!IsDue)
+    return;
+  Listing.Sequence = ++Reports[Id];
+  Entries[Id] = {Listing, Queue.now()};
+  if (IsChanged)
+    ListingVersion = ++Version;
+}
+
 void simulated_store::takeReports() {
-  for (const auto &[Id, Instance] : Group.instances()) {
-    bool Reaches =
-        Instance.IsRunning && !IsDown && Network.reaches(Id.str(), Node);
-    if (!Reaches)
-      continue;
-    instance_listing Listing = Instance.Listing;
-    Listing.Role = Instance.Role;
-    Listing.ColdTime =
-        std::max(base::duration{}, Instance.ColdUntil - Queue.now());
-    auto Known = Entries.find(Id);
-    bool IsChanged = Known == Entries.end() ||
-                     !Known->second.Listing.hasSameContent(Listing);
-    bool IsDue =
-        IsChanged || Queue.now() >= Known->second.ReportedAt + ReportInterval;
-    if (!IsDue)
-      continue;
-    Listing.Sequence = ++Reports[Id];
-    Entries[Id] = {Listing, Queue.now()};
-    if (IsChanged)
-      ListingVersion = ++Version;
-  }
+  for (const auto &Group : Groups.all())
+    for (const auto &[Id, Instance] : Group->instances())
+      takeReport(Instance);
   auto Expired = std::erase_if(Entries, [&](const auto &Entry) {
-    const simulated_instance &Instance = Group.instances().at(Entry.first);
+    const simulated_instance &Instance =
+        Groups.of(Entry.first).instances().at(Entry.first);
     // An instance that ends as planned removes its entry.
     bool HasLeft = Instance.Log.empty() && !Instance.IsRunning &&
                    Instance.Listing.Draining && !IsDown &&
--- a/packages/sessions/tests/support/simulated_fleet.h
+++ b/packages/sessions/tests/support/simulated_fleet.h
@@ -79,16 +79,38 @@
 /// restores of the store on some seeds.
 std::vector<scheduled_fault> drawFaultsWithEvacuations(std::uint64_t Seed);
 
-/// Several session engines before one database group, driven in virtual time
+/// Size of a simulated fleet, and what its clients do.
+struct fleet_shape {
+  std::size_t Domains = 3;
+  std::size_t Hosts = 6;
+  std::size_t Groups = 1;
+  client_habit Habit = client_habit::Plain;
+  client_load Load{};
+
+  friend bool operator==(const fleet_shape &, const fleet_shape &) = default;
+};
+
+/// Several session engines before some database groups, driven in virtual time
 /// through a schedule of faults.
 class simulated_fleet {
 public:
   simulated_fleet(std::uint64_t Seed, std::vector<scheduled_fault> Faults,
-                  client_habit Habit = client_habit::Plain);
+                  fleet_shape Shape = {});
 
   /// Runs the schedule to its end or to the first broken promise.
   void run();
-  [[nodiscard]] const simulated_group &group() const { return Group; }
+  /// Runs the schedule for \p Time more.
+  void runFor(base::duration Time);
+  [[nodiscard]] const simulated_group &group() const { return Groups.first(); }
+  [[nodiscard]] const simulated_groups &groups() const { return Groups; }
+  [[nodiscard]] const simulated_world &world() const { return World; }
+  /// Cuts one host in \p Interval off from all other nodes, or takes that back.
+  void setHostsCut(std::size_t Interval, bool IsCut);
+  /// Crashes the primaries of all groups, which come back after \p Time.
+  void crashPrimaries(base::duration Time);
+  [[nodiscard]] bool isHostCut(const std::string &Name) const {
+    return Network.isIsolatedHost(Name);
+  }
   [[nodiscard]] std::uint64_t steps() const { return Queue.steps(); }
   [[nodiscard]] std::uint64_t writesDone() const { return World.WritesDone; }
   /// Prints all state changes with their times to standard output.
@@ -119,17 +141,22 @@
   void startSuccessor(const base::instance_id &Id);
   void endLater(const base::instance_id &Id);
   [[nodiscard]] base::instance_id instanceAt(std::size_t Index) const;
-  [[nodiscard]] static std::string domainAt(std::size_t Index);
+  [[nodiscard]] std::string domainAt(std::size_t Index) const;
   void sendDatagram(const std::string &From, const std::string &Address,
                     const std::string &Bytes);
 
   event_queue Queue;
   simulated_network Network;
   base::random_generator Random;
-  simulated_group Group;
+  fleet_shape Shape;
+  simulated_groups Groups;
+  /// The group that the faults concern.
+  simulated_group &Group;
   simulated_store Store;
   simulated_world World;
   std::vector<std::unique_ptr<simulated_host>> Hosts;
+  /// Hosts by the addresses to which datagrams are sent.
+  std::map<std::string, simulated_host *> HostsByAddress;
   std::vector<scheduled_fault> Faults;
   /// Faults that wait for the next claim of a promotion.
   std::vector<scheduled_fault> FaultsOfPromoters;
--- a/packages/sessions/tests/support/simulated_group.h
+++ b/packages/sessions/tests/support/simulated_group.h
@@ -78,8 +78,9 @@
   using reply_function = std::function<bool(const backend_reply &)>;
 
   simulated_group(event_queue &Queue, simulated_network &Network,
-                  base::random_generator &Random);
+                  base::random_generator &Random, const std::string &Name);
 
+  [[nodiscard]] const base::group_id &id() const { return Group; }
   /// Starts an instance with an empty log in \p Domain.
   base::instance_id add(const std::string &Domain);
   [[nodiscard]] const std::map<base::instance_id, simulated_instance> &
@@ -196,6 +197,7 @@
   event_queue &Queue;
   simulated_network &Network;
   base::random_generator &Random;
+  base::group_id Group;
   std::map<base::instance_id, simulated_instance> Instances;
   base::instance_id Leader;
   groups::term_number LeaderTerm = 1;
@@ -223,6 +225,24 @@
   std::vector<broken_promise> Broken;
 };
 
+/// The groups of a simulated fleet.
+class simulated_groups {
+public:
+  simulated_group &add(std::unique_ptr<simulated_group> Group) {
+    return *All.emplace_back(std::move(Group));
+  }
+  /// The group of an instance that was added to one of them.
+  [[nodiscard]] simulated_group &of(const base::instance_id &Id) const;
+  [[nodiscard]] simulated_group &first() const { return *All.front(); }
+  [[nodiscard]] const std::vector<std::unique_ptr<simulated_group>> &
+  all() const {
+    return All;
+  }
+
+private:
+  std::vector<std::unique_ptr<simulated_group>> All;
+};
+
 /// Position of the end of an instance's log.
 groups::log_position endOfLog(const simulated_instance &Instance);
 
--- a/packages/sessions/tests/support/simulated_host.h
+++ b/packages/sessions/tests/support/simulated_host.h
@@ -41,6 +41,15 @@
   RollingBack,
 };
 
+/// What the clients of one host ask for.
+struct client_load {
+  std::size_t ClientsPerHost = 2;
+  /// Time between the end of an operation and the next one of the client.
+  base::duration Pause = std::chrono::milliseconds(15);
+
+  friend bool operator==(const client_load &, const client_load &) = default;
+};
+
 /// What the hosts of a simulated fleet share.
 struct simulated_world {
   static constexpr base::duration RecentStaleness =
@@ -49,7 +58,7 @@
   event_queue &Queue;
   simulated_network &Network;
   base::random_generator &Random;
-  simulated_group &Group;
+  const simulated_groups &Groups;
   simulated_store &Store;
   catalog_ptr Configuration;
   /// Passes a datagram to the host at an address.
@@ -65,10 +74,15 @@
   /// Receives the state changes that hosts log.
   std::function<void(const std::string &)> Trace;
   client_habit Habit = client_habit::Plain;
+  client_load Load{};
+  /// Calls of all hosts to the tables of the store, by name.
+  std::map<std::string, std::uint64_t> StoreCalls{};
   /// Numbers of the writes of all clients.
   std::uint64_t LastWrite = 0;
   std::uint64_t WritesDone = 0;
   std::uint64_t WritesFailed = 0;
+  /// Errors that clients were given, by host.
+  std::map<std::string, std::uint64_t> Refusals{};
 };
 
 /// One host of a simulated fleet: a session engine with its clients, driven by
@@ -96,6 +110,7 @@
 private:
   struct client {
     session_number Session{};
+    simulated_group *Group = nullptr;
     client_step Step = client_step::Idle;
     /// Further steps of the operation.
     std::span<const client_step> Remaining;
--- a/packages/sessions/tests/support/simulated_network.h
+++ b/packages/sessions/tests/support/simulated_network.h
@@ -35,6 +35,16 @@
     else
       IsolatedNodes.erase(Node);
   }
+  /// Cuts a host off from all other nodes.
+  void setIsolatedHost(const std::string &Node, bool IsIsolated) {
+    if (IsIsolated)
+      IsolatedHosts.insert(Node);
+    else
+      IsolatedHosts.erase(Node);
+  }
+  [[nodiscard]] bool isIsolatedHost(const std::string &Node) const {
+    return IsolatedHosts.contains(Node);
+  }
   /// Cuts a node off from the platform alone.
   void setCutFromPlatform(const std::string &Node, bool IsCut) {
     if (IsCut)
@@ -44,6 +54,8 @@
   }
   [[nodiscard]] bool reaches(const std::string &From,
                              const std::string &To) const {
+    if (IsolatedHosts.contains(From) || IsolatedHosts.contains(To))
+      return false;
     const std::string &Source = Domains.at(From);
     const std::string &Target = Domains.at(To);
     bool IsIsolated =
@@ -68,6 +80,7 @@
   std::set<std::string> CutDomains;
   std::set<std::string> InstanceNodes;
   std::set<std::string> IsolatedNodes;
+  std::set<std::string> IsolatedHosts;
   std::set<std::string> NodesWithoutPlatform;
 };
 
--- a/packages/sessions/tests/support/simulated_store.h
+++ b/packages/sessions/tests/support/simulated_store.h
@@ -22,7 +22,7 @@
   static constexpr const char *Node = "store";
 
   simulated_store(event_queue &Queue, simulated_network &Network,
-                  simulated_group &Group);
+                  const simulated_groups &Groups);
 
   /// While it is down, the store answers nothing and takes no report.
   void setDown(bool Value) { IsDown = Value; }
@@ -78,11 +78,12 @@
 
   void tick();
   void takeReports();
+  void takeReport(const simulated_instance &Instance);
   void copyIfDue();
 
   event_queue &Queue;
   simulated_network &Network;
-  simulated_group &Group;
+  const simulated_groups &Groups;
   std::map<base::row_key, base::table_row> Rows;
   std::map<base::instance_id, entry> Entries;
   /// Evacuated failure domains and when the store has acknowledged that.
