Read the claims of all groups once for a failure domain

Cause: since a lease counts only after a read of its group's claim, and each host read each claim by itself: probers at once, others after 120 ms, again every 50 ms while a commit waited. The calls grew with hosts times groups, and a commit on a host without a lease depended on a prober's status calls, which a busy instance rejects.

Hosts now ask a reader of their failure domain by datagram. One read shows the claims of all groups, answers all that have asked meanwhile, and vouches for half a lease at least, so a commit proves its primary by itself again at the cost of one round trip. Replies are dated by the request, so that a delayed one only looks older.

--- a/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
@@ -50,6 +50,18 @@
   /// domain.
   [[nodiscard]] bool isWatcher() const { return IsWatcher; }
 
+  /// Addresses of the hosts of this failure domain that read the claims, in the
+  /// order in which this host asks them. This host itself is the last one
+  /// unless it is among the readers.
+  [[nodiscard]] const std::vector<std::string> &claimReaders() const {
+    return ClaimReaders;
+  }
+  /// Whether the row of this host is in the members table, so that the rows of
+  /// hosts that started before it are known.
+  [[nodiscard]] bool isListed() const {
+    return Members.contains(Options.Host.str());
+  }
+
   /// Names of all hosts by failure domain, including this host.
   [[nodiscard]] hosts_by_domain hosts() const;
   /// Increases whenever hosts or their addresses change.
@@ -90,6 +102,7 @@
   void recordMissing(std::map<std::string, member> &Current,
                      std::uint64_t History, base::time_point Now);
   void updateHosts();
+  void updateClaimReaders();
   void removeExpired(base::time_point Now);
   void removeRow(const std::string &Name, base::row_version Version);
 
@@ -116,6 +129,7 @@
   bool IsBehind = false;
   std::uint64_t HostsDigest = 0;
   bool IsWatcher = false;
+  std::vector<std::string> ClaimReaders;
   /// Time at which the latest successful renewal of this host's row was sent.
   std::optional<base::time_point> RenewedAt;
   base::time_point SharesUsableAt;
--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -3,6 +3,7 @@
 
 #include "radishrelay/sessions/catalog.h"
 #include "radishrelay/sessions/detail/backend_pool.h"
+#include "radishrelay/sessions/detail/claim_watch.h"
 #include "radishrelay/sessions/detail/fleet_members.h"
 #include "radishrelay/sessions/detail/promotion_votes.h"
 #include "radishrelay/sessions/detail/store_calls.h"
@@ -30,7 +31,7 @@
   group_supervisor(base::group_id Group, const engine_options &Options,
                    backend_pool &Pool, store_calls &Store,
                    const store_history &History, fleet_members &Members,
-                   event_log &Log);
+                   claim_watch &Claims, event_log &Log);
 
   /// Updates the members of the group from the instances of all groups that the
   /// platform lists.
@@ -131,6 +132,9 @@
   void receive(const promotion_vote &Vote, base::time_point Now) {
     Votes.receive(Vote, Now);
   }
+  /// Handles a read of the group's claim that was sent at \p ReadAt.
+  void claimRead(const group_claim &Claim, base::time_point ReadAt,
+                 base::time_point Now);
   /// Adopts the proof of another host. Returns true if the primary is proved
   /// afterwards.
   bool receive(const proof_reply &Reply, base::time_point Now);
@@ -185,10 +189,10 @@
   }
   void startProbeIfDue(base::time_point Now);
   void endProbe(base::time_point Now);
-  /// When the claim of the group has to be read next; the distant future if it
-  /// does not.
-  [[nodiscard]] base::time_point claimReadDueAt(base::time_point Now) const;
-  void readClaimIfDue(base::time_point Now);
+  /// For which time a read of the claim has to vouch; empty if none is needed.
+  [[nodiscard]] std::optional<base::time_point>
+  claimNeededFor(base::time_point Now) const;
+  void requestClaimIfNeeded(base::time_point Now);
   /// Whether the primary is proved by answers since the last probe started.
   [[nodiscard]] bool isProvedAnew(base::time_point Now) const;
   /// Records that the latest probe has proved the primary.
@@ -233,6 +237,7 @@
   store_calls &Store;
   const store_history &History;
   fleet_members &Fleet;
+  claim_watch &Claims;
   event_log &Log;
   group_settings Settings;
   group_roles Roles;
@@ -271,15 +276,11 @@
   bool IsProbing = false;
   base::time_point ProbeStartedAt;
   base::time_point NextProbeAt;
-  base::time_point NextClaimReadAt;
-  bool IsReadingClaim = false;
   /// When the commit was acknowledged that has last waited for a proof.
   base::time_point UnprovedCommitAt;
   base::time_point CommitProofRequestedAt;
-  /// Whether the claim was read in the run of this host.
+  /// Whether a read of the claim was seen in the run of this host.
   bool HasReadClaim = false;
-  /// Whether the store has not answered the last read of the claim in time.
-  bool IsClaimOverdue = false;
   std::uint32_t FailedProbes = 0;
   base::time_point FirstFailureAt;
   base::time_point PrimaryAnsweredAt;
--- a/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
@@ -5,11 +5,13 @@
 #include "radishrelay/base/identifier.h"
 #include "radishrelay/base/monotonic_clock.h"
 #include "radishrelay/groups/log_position.h"
+#include "radishrelay/sessions/claim_view.h"
 #include "radishrelay/sessions/detail/watched_source.h"
 
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace radishrelay::sessions::detail {
 
@@ -80,9 +82,60 @@
                          const report_request &) = default;
 };
 
-using peer_message =
-    std::variant<token_request, token_grant, proof_request, proof_reply,
-                 promotion_vote, watch_report, report_request>;
+/// Requests a read of the claims of all groups.
+struct claim_request {
+  /// Send time on the sender's clock; the reply returns it.
+  base::time_point SentAt;
+  /// How old the read may be when the request is received.
+  base::duration MaxAge{};
+
+  friend bool operator==(const claim_request &,
+                         const claim_request &) = default;
+};
+
+/// The claim of one group.
+struct group_claim {
+  base::group_id Group;
+  claim_view View;
+  /// Term that a promotion is known to lead; 0 if none.
+  groups::term_number LedTerm = 0;
+
+  friend bool operator==(const group_claim &, const group_claim &) = default;
+};
+
+/// The claims of all groups from From up to, but without, To; an empty To means
+/// no limit. A group in the range that is not listed has no claim.
+struct claim_range {
+  base::group_id From;
+  base::group_id To;
+  std::vector<group_claim> Claims;
+
+  [[nodiscard]] bool contains(const base::group_id &Group) const {
+    return Group >= From && (To.empty() || Group < To);
+  }
+  /// The claim of a group in the range.
+  [[nodiscard]] group_claim of(const base::group_id &Group) const;
+
+  friend bool operator==(const claim_range &, const claim_range &) = default;
+};
+
+/// Answers a claim_request with a part of the claims.
+struct claim_reply {
+  /// SentAt of the request.
+  base::time_point AskedAt;
+  /// Time from the receipt of the request until the read was sent, negative if
+  /// the read was sent before. On the clock of the host that asked, the read
+  /// was sent at AskedAt + ReadDelay or later. Empty if the store does not
+  /// answer.
+  std::optional<base::duration> ReadDelay;
+  claim_range Range;
+
+  friend bool operator==(const claim_reply &, const claim_reply &) = default;
+};
+
+using peer_message = std::variant<token_request, token_grant, proof_request,
+                                  proof_reply, promotion_vote, watch_report,
+                                  report_request, claim_request, claim_reply>;
 
 /// A message with the address to which replies are sent.
 struct peer_datagram {
--- a/packages/sessions/include/radishrelay/sessions/group_leadership.h
+++ b/packages/sessions/include/radishrelay/sessions/group_leadership.h
@@ -4,6 +4,7 @@
 #include "radishrelay/base/identifier.h"
 #include "radishrelay/base/json.h"
 #include "radishrelay/base/monotonic_clock.h"
+#include "radishrelay/sessions/claim_view.h"
 #include "radishrelay/sessions/instance_status.h"
 
 #include <deque>
@@ -13,16 +14,6 @@
 
 namespace radishrelay::sessions {
 
-/// What the claim of a group says about its terms.
-struct claim_view {
-  /// Highest term that an announced order may have led to.
-  groups::term_number AnnouncedTerm = 0;
-  /// Whether a host may be about to announce a later term.
-  bool IsAttemptInProgress = false;
-
-  friend bool operator==(const claim_view &, const claim_view &) = default;
-};
-
 /// Tracks what this host can prove about the primary of one database group.
 ///
 /// A promotion first fences all instances but one, then waits for the lease
@@ -88,6 +79,15 @@
   /// none is running.
   [[nodiscard]] std::optional<base::time_point>
   claimAwaitedSince(base::time_point Now) const;
+  /// When a read of the claim has to be sent at the earliest to vouch for
+  /// \p Time, unless an attempt has been begun since the last one. A read that
+  /// shows no attempt may precede \p Time by half a lease, so that many commits
+  /// and leases share it.
+  [[nodiscard]] base::time_point claimNeededAt(base::time_point Time) const {
+    return VouchedUntil > ClaimReadAt || !AreMembersKnown
+               ? Time - LeaseDuration / 2
+               : Time;
+  }
   /// Records the confirmed lease of another host, which proved \p Instance at
   /// \p ProvedAt.
   void recordProof(const base::instance_id &Instance,
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -330,6 +330,7 @@
   /// after failed ones.
   void recordRead(detail::watched_source Source, const read_span &Span,
                   bool IsChanged, base::time_point Now);
+  void claimsRead(const detail::claim_reading &Reading, base::time_point Now);
   connection *connectionOf(const session &Session);
   void remove(session_number Number, base::time_point Now);
 
@@ -342,6 +343,7 @@
   detail::store_calls Store;
   detail::backend_pool Pool;
   detail::fleet_members Members;
+  detail::claim_watch Claims;
   detail::fleet_limits Limits;
   detail::store_watch Watch;
   detail::store_history History;
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -27,6 +27,13 @@
 /// one may be down.
 constexpr std::size_t WatchersPerDomain = 2;
 constexpr const char *WatchKey = "watch the store";
+/// Hosts that are asked for the claims in turn: enough that one is left when
+/// half of the hosts are down, and few reads if the store answers none of them.
+constexpr std::size_t ReadersPerHost = 4;
+/// Hosts that ask the same reader first: two requests a second of each take a
+/// few percent of the processor of a small host.
+constexpr std::size_t HostsPerReader = 64;
+constexpr const char *ReaderKey = "read the claims";
 /// Hosts of each failure domain that probe the instances of a group. The others
 /// ask these hosts for proofs, since a status call occupies a slot and a
 /// connection of the instance. Enough that some are left when half are down.
@@ -243,6 +250,7 @@
     return;
   HostsDigest = Digest;
   ++HostsVersion;
+  updateClaimReaders();
   std::vector<std::string> Order =
       base::rendezvousOrder(WatchKey, hosts()[Options.Domain.str()]);
   Order.resize(std::min(Order.size(), WatchersPerDomain));
@@ -255,6 +263,22 @@
     Log.stateChange("watching the store", {{"watcher", IsWatcher}});
 }
 
+void fleet_members::updateClaimReaders() {
+  std::vector<std::string> Order =
+      base::rendezvousOrder(ReaderKey, hosts()[Options.Domain.str()]);
+  std::size_t First = base::stableHash(Options.Host.str()) %
+                      (1 + Order.size() / HostsPerReader);
+  ClaimReaders.clear();
+  for (std::size_t Index = 0; Index < std::min(Order.size(), ReadersPerHost);
+       ++Index) {
+    const std::string &Name = Order[(First + Index) % Order.size()];
+    ClaimReaders.push_back(Name == Options.Host.str() ? Options.PeerAddress
+                                                      : addressOf(Name));
+  }
+  if (std::ranges::count(ClaimReaders, Options.PeerAddress) == 0)
+    ClaimReaders.push_back(Options.PeerAddress);
+}
+
 void fleet_members::sendToDomain(watch_report Report, base::time_point Now) {
   for (const auto &[Name, Member] : Members)
     if (Member.Domain == Options.Domain.str() && Name != Options.Host.str())
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -43,10 +43,8 @@
 /// Time after which a pending proof request is dropped: the duration of one
 /// probe.
 constexpr base::duration OpenRequestLifetime = std::chrono::milliseconds(200);
-/// Time after which a read of the claim that has no answer is repeated.
-constexpr base::duration ClaimReadTimeout = std::chrono::milliseconds(1000);
-/// Time between an answer to a read of the claim and the next read.
-constexpr base::duration ClaimReadInterval = std::chrono::milliseconds(50);
+/// Interval at which a read of the claim is requested again while it is needed.
+constexpr base::duration ClaimRequestInterval = std::chrono::milliseconds(50);
 /// Time after the last request for its proof for which a commit counts as
 /// waiting. Longer than CommitProofInterval, at which it is requested.
 constexpr base::duration CommitProofLifetime = std::chrono::milliseconds(60);
@@ -66,9 +64,10 @@
                                    const engine_options &Options,
                                    backend_pool &Pool, store_calls &Store,
                                    const store_history &History,
-                                   fleet_members &Fleet, event_log &Log)
+                                   fleet_members &Fleet, claim_watch &Claims,
+                                   event_log &Log)
     : Group(std::move(Group)), Options(Options), Pool(Pool), Store(Store),
-      History(History), Fleet(Fleet), Log(Log),
+      History(History), Fleet(Fleet), Claims(Claims), Log(Log),
       Leadership(Options.LeaseDuration), Promotion(this->Group, Options),
       Votes(Options.VoteLifetime) {}
 
@@ -360,7 +359,7 @@
     return All;
   if (!Roles.IsProber && !Roles.IsPromoter)
     return {*Primary};
-  if (isPrimarySuspected() || isPrimaryLeaving() || IsClaimOverdue)
+  if (isPrimarySuspected() || isPrimaryLeaving() || Claims.isOverdue())
     return All;
   // The statuses of the primary and one replica form a proof; a replica in this
   // domain is preferred because calls to it are cheap. Instances in evacuated
@@ -466,9 +465,9 @@
                                     base::time_point SentAt,
                                     base::time_point Now) {
   Leadership.recordStatus(Instance, Status, SentAt, Now);
-  if (IsClaimOverdue)
+  if (Claims.isOverdue())
     Leadership.confirmByMembers(Now);
-  readClaimIfDue(Now);
+  requestClaimIfNeeded(Now);
   bool IsDemoted = Leadership.leaderOfHighestTerm() == Instance &&
                    Status.Role == groups::instance_role::Replica &&
                    Status.Term == Leadership.highestTerm();
@@ -506,46 +505,37 @@
          Leadership.provedAt() >= FirstFailureAt;
 }
 
-base::time_point group_supervisor::claimReadDueAt(base::time_point Now) const {
-  std::optional<base::time_point> AwaitedSince =
-      Leadership.claimAwaitedSince(Now);
+std::optional<base::time_point>
+group_supervisor::claimNeededFor(base::time_point Now) const {
   bool IsCommitWaiting = Now < CommitProofRequestedAt + CommitProofLifetime &&
                          !Leadership.isProved(UnprovedCommitAt);
-  if (!AwaitedSince && IsCommitWaiting)
-    AwaitedSince = UnprovedCommitAt;
+  if (IsCommitWaiting)
+    return UnprovedCommitAt;
+  std::optional<base::time_point> AwaitedSince =
+      Leadership.claimAwaitedSince(Now);
+  if (AwaitedSince && Now < ProofRequestedAt + demandLifetime())
+    return AwaitedSince;
   // The first prober needs to know what was announced before the store goes
-  // away.
-  bool IsDue =
-      AwaitedSince ? Roles.IsProber : Roles.IsFirstProber && !HasReadClaim;
-  if (IsDue)
-    return NextClaimReadAt;
-  if (AwaitedSince)
-    return std::max(NextClaimReadAt, *AwaitedSince + ProofReplyTimeout);
-  return base::time_point::max();
-}
-
-void group_supervisor::readClaimIfDue(base::time_point Now) {
-  if (Now < claimReadDueAt(Now))
-    return;
-  IsClaimOverdue = IsClaimOverdue || IsReadingClaim;
-  IsReadingClaim = true;
-  NextClaimReadAt = Now + ClaimReadTimeout;
-  Store.execute(
-      base::read_row{promotionClaimKey(Group)},
-      [this, SentAt = Now](const base::store_answer &Answer, auto At) {
-        IsReadingClaim = false;
-        IsClaimOverdue = Answer.Outcome != base::store_outcome::Done;
-        NextClaimReadAt = At + ClaimReadInterval;
-        if (IsClaimOverdue)
-          return;
-        HasReadClaim = true;
-        const base::json Claim =
-            Answer.Rows.empty() ? base::json() : Answer.Rows.front().Value;
-        Leadership.recordTerm(ledTermOf(Claim));
-        Leadership.recordClaim(viewOf(Claim), SentAt, At);
-        if (isProvedAnew(At))
-          recordPrimaryProved(At);
-      });
+  // away. Hosts that start together take themselves for it until they are
+  // listed.
+  if (Roles.IsFirstProber && !HasReadClaim && Fleet.isListed())
+    return Now;
+  return std::nullopt;
+}
+
+void group_supervisor::requestClaimIfNeeded(base::time_point Now) {
+  if (std::optional<base::time_point> Time = claimNeededFor(Now))
+    Claims.request(Leadership.claimNeededAt(*Time), Now);
+}
+
+void group_supervisor::claimRead(const group_claim &Claim,
+                                 base::time_point ReadAt,
+                                 base::time_point Now) {
+  HasReadClaim = true;
+  Leadership.recordTerm(Claim.LedTerm);
+  Leadership.recordClaim(Claim.View, ReadAt, Now);
+  if (isProvedAnew(Now))
+    recordPrimaryProved(Now);
 }
 
 void group_supervisor::advance(base::time_point Now) {
@@ -567,7 +557,7 @@
   if (IsProbing && Now >= ProbeStartedAt + Options.StatusTimeout)
     endProbe(Now);
   seekProof(Now);
-  readClaimIfDue(Now);
+  requestClaimIfNeeded(Now);
   considerPromotion(Now);
   promotion_actions Actions;
   Promotion.setReplicaKnowledge(replicaKnowledge(Now));
@@ -587,7 +577,8 @@
   else if (Now < ProofRequestedAt + demandLifetime() &&
            !Leadership.isProved(Now))
     Wake = std::min(Wake, NextProofRequestAt);
-  Wake = std::min(Wake, claimReadDueAt(Now));
+  if (claimNeededFor(Now))
+    Wake = std::min(Wake, Now + ClaimRequestInterval);
   if (ReplaceDueSince)
     Wake = std::min(Wake, *ReplaceDueSince + Roles.PromotionDelay);
   if (isVoteDue(Now))
--- a/packages/sessions/src/peer_message.cpp
+++ b/packages/sessions/src/peer_message.cpp
@@ -18,6 +18,8 @@
 constexpr int VoteKind = 5;
 constexpr int ReportKind = 6;
 constexpr int ReportRequestKind = 7;
+constexpr int ClaimRequestKind = 8;
+constexpr int ClaimReplyKind = 9;
 
 struct packer {
   const std::string &ReplyTo;
@@ -59,6 +61,25 @@
   json operator()(const report_request &) const {
     return json::array({ReportRequestKind, ReplyTo});
   }
+  json operator()(const claim_request &Request) const {
+    return json::array({ClaimRequestKind, ReplyTo,
+                        base::toMicroseconds(Request.SentAt),
+                        Request.MaxAge.count()});
+  }
+  json operator()(const claim_reply &Reply) const {
+    json Result = json::array(
+        {ClaimReplyKind, ReplyTo, base::toMicroseconds(Reply.AskedAt)});
+    if (!Reply.ReadDelay)
+      return Result;
+    Result.push_back(Reply.ReadDelay->count());
+    Result.push_back(Reply.Range.From.str());
+    Result.push_back(Reply.Range.To.str());
+    for (const group_claim &Claim : Reply.Range.Claims)
+      Result.push_back(
+          json::array({Claim.Group.str(), Claim.View.AnnouncedTerm,
+                       Claim.View.IsAttemptInProgress, Claim.LedTerm}));
+    return Result;
+  }
   json operator()(const watch_report &Report) const {
     json Result = json::array(
         {ReportKind, ReplyTo, Report.HostsDigest, Report.HostsAge.count()});
@@ -115,6 +136,28 @@
   return Reply;
 }
 
+claim_reply unpackClaims(const json &Packed) {
+  constexpr std::size_t SizeWithoutRead = 3;
+  constexpr std::size_t FirstClaim = 6;
+  claim_reply Reply;
+  Reply.AskedAt = base::fromMicroseconds(Packed.at(2).get<std::int64_t>());
+  if (Packed.size() == SizeWithoutRead)
+    return Reply;
+  if (!Packed.at(3).is_number_integer())
+    throw std::out_of_range("not a time");
+  Reply.ReadDelay = base::duration(Packed.at(3).get<std::int64_t>());
+  Reply.Range.From = base::group_id(Packed.at(4).get<std::string>());
+  Reply.Range.To = base::group_id(Packed.at(5).get<std::string>());
+  for (std::size_t Index = FirstClaim; Index < Packed.size(); ++Index) {
+    const json &Claim = Packed.at(Index);
+    Reply.Range.Claims.push_back(
+        {base::group_id(Claim.at(0).get<std::string>()),
+         {Claim.at(1).get<groups::term_number>(), Claim.at(2).get<bool>()},
+         Claim.at(3).get<groups::term_number>()});
+  }
+  return Reply;
+}
+
 watch_report unpackReport(const json &Packed) {
   constexpr std::size_t FirstSource = 4;
   constexpr std::size_t DigestIndex = 3;
@@ -135,6 +178,13 @@
 
 } // namespace
 
+group_claim claim_range::of(const base::group_id &Group) const {
+  for (const group_claim &Claim : Claims)
+    if (Claim.Group == Group)
+      return Claim;
+  return {Group, {}, 0};
+}
+
 std::string encodeDatagram(const peer_datagram &Datagram) {
   std::vector<std::uint8_t> Packed =
       json::to_msgpack(std::visit(packer{Datagram.ReplyTo}, Datagram.Message));
@@ -171,6 +221,13 @@
       return peer_datagram{ReplyTo, unpackReport(Packed)};
     case ReportRequestKind:
       return peer_datagram{ReplyTo, report_request{}};
+    case ClaimRequestKind:
+      return peer_datagram{
+          ReplyTo, claim_request{
+                       base::fromMicroseconds(Packed.at(2).get<std::int64_t>()),
+                       unpackAge(Packed.at(3))}};
+    case ClaimReplyKind:
+      return peer_datagram{ReplyTo, unpackClaims(Packed)};
     default:
       return std::nullopt;
     }
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -21,7 +21,11 @@
     : Options(Options), Clients(Clients), Coordination(Coordination), Log(Log),
       Doubts(Counters, Log), Store(Coordination),
       Pool(Options, Backends, Doubts),
-      Members(Options, Store, Coordination, Log), Limits(Options, Members, Log),
+      Members(Options, Store, Coordination, Log),
+      Claims(
+          Options, Store, Members,
+          [this](const auto &Reading, auto Now) { claimsRead(Reading, Now); }),
+      Limits(Options, Members, Log),
       Evacuations(Options.EvacuationDuration - StatementTransferTime) {}
 
 bool session_engine::isReady() const {
@@ -207,8 +211,8 @@
   for (const auto &[Id, Settings] : Catalog->Groups) {
     auto [Entry, IsNew] = Groups.try_emplace(Id);
     if (IsNew) {
-      Entry->second = std::make_unique<supervisor>(Id, Options, Pool, Store,
-                                                   History, Members, Log);
+      Entry->second = std::make_unique<supervisor>(
+          Id, Options, Pool, Store, History, Members, Claims, Log);
       Entry->second->setListings(List, Now);
       Entry->second->setEvacuated(Evacuations.evacuated(), Evacuations.closed(),
                                   Now);
@@ -292,11 +296,18 @@
   if (Answer.Outcome == base::store_outcome::Done)
     recordHistory(Answer.Version, {{"source", "tables"}}, Now);
   Store.answered(Call, Answer, Now);
-  ShouldServeWaiting = true; // the answer may prove a primary
   if (Members.hostsVersion() != HostsVersion)
     updateGroups(Now);
 }
 
+void session_engine::claimsRead(const detail::claim_reading &Reading,
+                                base::time_point Now) {
+  for (auto &[Id, Group] : Groups)
+    if (Reading.Range.contains(Id))
+      Group->claimRead(Reading.Range.of(Id), Reading.ReadAt, Now);
+  ShouldServeWaiting = true;
+}
+
 void session_engine::promotionAnswered(store_call_number Call,
                                        order_outcome Outcome,
                                        base::time_point Now) {
@@ -333,6 +344,12 @@
     if (!Catalog)
       Starting.replied(Datagram->ReplyTo,
                        detail::catalogVersion(*Report).value_or(0));
+  } else if (const auto *ClaimRequest =
+                 std::get_if<detail::claim_request>(&Datagram->Message)) {
+    Claims.receive(*ClaimRequest, Datagram->ReplyTo, Now);
+  } else if (const auto *ClaimReply =
+                 std::get_if<detail::claim_reply>(&Datagram->Message)) {
+    Claims.receive(*ClaimReply, Datagram->ReplyTo, Now);
   } else if (std::holds_alternative<detail::report_request>(
                  Datagram->Message)) {
     Members.sendReport(Watch.report(Now), Datagram->ReplyTo, Now);
@@ -376,6 +393,7 @@
       Watch.requestRead(detail::watched_source::Instances);
   }
   Members.advance(Now);
+  Claims.advance(Now);
   adoptFirstCatalog(Now);
   watchStore(Now);
   Limits.advance(Now);
@@ -413,9 +431,9 @@
 }
 
 base::time_point session_engine::nextWake(base::time_point Now) const {
-  base::time_point Wake =
-      std::min({NextTrimAt, Members.nextWake(), Limits.nextWake(),
-                Watch.nextWake(), Evacuations.nextWake(), NextColdEnd});
+  base::time_point Wake = std::min(
+      {NextTrimAt, Members.nextWake(), Claims.nextWake(), Limits.nextWake(),
+       Watch.nextWake(), Evacuations.nextWake(), NextColdEnd});
   if (!Catalog)
     Wake = std::min(Wake, Starting.nextWake());
   if (!Wakes.empty())
@@ -460,6 +478,7 @@
   Result["draining"] = IsDraining;
   Result["instances"] = Pool.dump();
   Result["fleet"] = Members.dump();
+  Result["claims"] = Claims.dump();
   Result["limits"] = Limits.dump();
   Result["store"] = Watch.dump();
   Result["evacuations"] = Evacuations.dump();
--- a/packages/sessions/tests/fake_fleet.cpp
+++ b/packages/sessions/tests/fake_fleet.cpp
@@ -422,6 +422,7 @@
     if (Row != Rows.end())
       Answer.Rows.push_back(Row->second);
   } else if (const auto *Table = std::get_if<base::read_table>(&Request)) {
+    ClaimReads += Table->Table == "promotions" ? 1 : 0;
     for (const auto &[Key, Row] : Rows)
       if (Key.Table == Table->Table)
         Answer.Rows.push_back(Row);
--- a/packages/sessions/tests/support/fake_fleet.h
+++ b/packages/sessions/tests/support/fake_fleet.h
@@ -104,6 +104,8 @@
   /// Replaces Rows by an earlier copy, in another history of the store.
   void restoreStore(std::map<base::row_key, base::table_row> Copy);
   bool IsStoreDown = false;
+  /// Number of reads of the table of claims.
+  std::uint64_t ClaimReads = 0;
   /// If set, instances reject Prepare and SetValue with this error.
   std::optional<refusal> PreparationError;
   /// Address and content of each datagram that the engine sent.
