Count no probe as failed that could not be sent

Callers were refused while the primary of the hottest group was busy, since probers voted to replace it. Cause: a status call is dropped if no connection is left for it, and the probe then failed for want of an answer. After 300 ms without any request of its own the host took the silence for a failure.

A probe whose call was dropped, while the primary owes no other answer, is no longer a failed one, and its time ends the silence that a vote needs. A primary that owes an answer is found as before. is_not_lost_while_it_cannot_be_asked fails without this change.

--- a/packages/sessions/include/radishrelay/sessions/detail/backend_pool.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/backend_pool.h
@@ -93,9 +93,12 @@
 
   /// Sends a control call on an idle connection to \p Instance. If none is
   /// idle, opens one for \p Account, except for a status call at the connection
-  /// limit, which is dropped.
-  void call(const base::instance_id &Instance, const base::account_id &Account,
+  /// limit, which is dropped. Returns whether the call will be sent.
+  bool call(const base::instance_id &Instance, const base::account_id &Account,
             const backend_request &Request, base::time_point Now);
+  /// Whether \p Instance owes the answer to a request or to the opening of a
+  /// connection.
+  [[nodiscard]] bool isAnswerAwaited(const base::instance_id &Instance) const;
   /// Sends a control call on a connection that it opens, unless that would
   /// exceed the connection limit.
   void callAnew(const base::instance_id &Instance,
--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -281,6 +281,12 @@
   base::time_point CommitProofRequestedAt;
   /// Whether a read of the claim was seen in the run of this host.
   bool HasReadClaim = false;
+  /// Whether the last probe says something about the primary: it was sent a
+  /// status call, owes the answer to another request, or is no longer listed.
+  bool IsPrimaryAsked = false;
+  /// Last time at which no connection was left for a status call to the primary
+  /// and it owed no answer. Its silence before then is no sign of a failure.
+  base::time_point PrimaryUnaskedAt;
   std::uint32_t FailedProbes = 0;
   base::time_point FirstFailureAt;
   base::time_point PrimaryAnsweredAt;
--- a/packages/sessions/src/backend_pool.cpp
+++ b/packages/sessions/src/backend_pool.cpp
@@ -261,12 +261,12 @@
   send(Connection, Rollback, Now);
 }
 
-void backend_pool::call(const base::instance_id &Instance,
+bool backend_pool::call(const base::instance_id &Instance,
                         const base::account_id &Account,
                         const backend_request &Request, base::time_point Now) {
   auto Entry = Instances.find(Instance);
   if (Entry == Instances.end())
-    return;
+    return false;
   backend_connection *Connection = oldestIdle(Entry->second);
   while (Connection && discardEarly(*Connection))
     Connection = oldestIdle(Entry->second);
@@ -276,15 +276,27 @@
   bool IsStatus = Request.Verb == backend_verb::Status;
   bool IsFull = Entry->second.Connections.size() >= hardLimit(Entry->second);
   if (!Connection && IsStatus && IsFull)
-    return;
+    return false;
   if (!Connection) {
     backend_connection &Opened = open(Entry->second, Account, Now);
     Opened.PendingCall = Request;
-    return;
+    return true;
   }
   Connection->Use = connection_use::Control;
   Connection->Deadline = Now + Options.StatusTimeout;
   send(*Connection, Request, Now);
+  return true;
+}
+
+bool backend_pool::isAnswerAwaited(const base::instance_id &Instance) const {
+  auto Entry = Instances.find(Instance);
+  return Entry != Instances.end() &&
+         std::ranges::any_of(
+             Entry->second.Connections, [this](backend_number Number) {
+               const backend_connection &Connection = Connections.at(Number);
+               return Connection.Use == connection_use::Opening ||
+                      !Connection.Outstanding.empty();
+             });
 }
 
 void backend_pool::callAnew(const base::instance_id &Instance,
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -388,19 +388,29 @@
   NextProbeAt = Now + Options.ProbeInterval;
   backend_request StatusCall;
   StatusCall.Verb = backend_verb::Status;
-  for (const base::instance_id &Instance : probeTargets(Now))
-    Pool.call(Instance, CallAccount, StatusCall, Now);
+  IsPrimaryAsked = true;
+  for (const base::instance_id &Instance : probeTargets(Now)) {
+    bool IsSent = Pool.call(Instance, CallAccount, StatusCall, Now);
+    bool IsUnasked = !IsSent && Members.at(Instance).IsListed &&
+                     !Pool.isAnswerAwaited(Instance);
+    if (Leadership.leader() == Instance && IsUnasked)
+      IsPrimaryAsked = false;
+  }
+  if (!IsPrimaryAsked)
+    PrimaryUnaskedAt = Now;
 }
 
 void group_supervisor::endProbe(base::time_point Now) {
   IsProbing = false;
+  NextProbeAt = std::max(NextProbeAt, Now);
+  if (!IsPrimaryAsked)
+    return;
   if (FailedProbes++ == 0) {
     FirstFailureAt = ProbeStartedAt;
     base::json Fields = Leadership.dump();
     Fields["group"] = Group.str();
     Log.stateChange("primary not proved by a probe", Fields);
   }
-  NextProbeAt = std::max(NextProbeAt, Now);
 }
 
 void group_supervisor::recordProbeAnswered() {
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -25,7 +25,8 @@
 
 bool group_supervisor::isVoteDue(base::time_point Now) const {
   base::time_point LedUntil =
-      DemotedSince ? *DemotedSince + DemotionPeriod : PrimaryAnsweredAt;
+      DemotedSince ? *DemotedSince + DemotionPeriod
+                   : std::max(PrimaryAnsweredAt, PrimaryUnaskedAt);
   bool IsLost = FailedProbes >= 2 &&
                 Now >= std::max(FirstFailureAt, LedUntil) + Options.VoteDelay;
   bool AreWritesLost = WriteTimeouts >= MinWriteTimeoutsToVote;
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -275,6 +275,24 @@
   BOOST_TEST(!hasVoted(*this));
 }
 
+// Guards against a promotion of a group because no connection was left to ask
+// its primary.
+BOOST_FIXTURE_TEST_CASE(is_not_lost_while_it_cannot_be_asked, fake_fleet) {
+  configuration().Groups.at(base::group_id("g")).ConnectionLimit = 1;
+  setCatalog(2);
+  instance("p").RejectsStatusCalls = true;
+  // Transactions that wait for their clients hold all connections.
+  for (int Index = 0; Index < 3; ++Index) {
+    session_number Session = connect("primary");
+    ask(Session, "begin");
+    ask(Session, "write x " + std::to_string(Index));
+  }
+  for (int Round = 0; Round < 10; ++Round)
+    ask(connect("primary"), "read x");
+  BOOST_TEST(PromotionOrders.empty());
+  BOOST_TEST(!hasVoted(*this));
+}
+
 BOOST_AUTO_TEST_SUITE(that_a_replica_has_left)
 
 /// A fleet whose replica r2, in the failure domain c, has announced that it is
