Measure the silence of a primary from the first request without an answer

Cause: a vote needs 300 ms without an answer, counted from the last answer, although nothing may have been asked since. A host whose probe was answered as busy at 2.153 s sent the next one at 2.35 s and voted at 2.453 s. A host that knew no leader recorded no answer at all and voted after 0.4 s (front-ne-burlington-46 at 1.06 s).

The silence now begins with the first probe after the last answer. While no leader is known, the instance that is listed as the primary is the one whose answers count.

--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -107,7 +107,7 @@
   void recordFailure(const base::instance_id &Instance, base::time_point Now);
   /// Records that \p Instance answered a probe or a statement.
   void recordAnswer(const base::instance_id &Instance, base::time_point Now) {
-    if (Leadership.leaderOfHighestTerm() == Instance)
+    if (isTakenForPrimary(Instance))
       PrimaryAnsweredAt = Now;
   }
   /// Records a write on \p Instance that had no answer in time.
@@ -143,6 +143,12 @@
   [[nodiscard]] base::json dump() const;
 
 private:
+  /// A prober renews its proof this long before it expires and hands it out
+  /// only until then: time for the first prober's status call on a busy
+  /// instance, and for one more if the first prober is down.
+  static constexpr base::duration RenewalLeadTime =
+      std::chrono::milliseconds(200);
+
   struct member_state {
     instance_listing Listing;
     bool IsListed = true;
@@ -163,6 +169,10 @@
   [[nodiscard]] bool hasLeft(const base::instance_id &Instance,
                              const member_state &Member) const;
 
+  /// Whether \p Instance leads the highest known term or, as long as no leader
+  /// is known, is listed as the primary.
+  [[nodiscard]] bool isTakenForPrimary(const base::instance_id &Instance) const;
+
   /// Whether commits on \p Primary may be confirmed by an instance that has
   /// started without being listed, so that they prove nothing. Only the
   /// hosts that share the failure domain of the primary reach it while that
@@ -284,9 +294,9 @@
   /// Whether the last probe says something about the primary: it was sent a
   /// status call, owes the answer to another request, or is no longer listed.
   bool IsPrimaryAsked = false;
-  /// Last time at which no connection was left for a status call to the primary
-  /// and it owed no answer. Its silence before then is no sign of a failure.
-  base::time_point PrimaryUnaskedAt;
+  /// When the first probe after the last answer of the primary asked it. Its
+  /// silence before then is no sign of a failure.
+  base::time_point PrimaryAskedAt;
   std::uint32_t FailedProbes = 0;
   base::time_point FirstFailureAt;
   base::time_point PrimaryAnsweredAt;
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -24,11 +24,13 @@
 } // namespace
 
 bool group_supervisor::isVoteDue(base::time_point Now) const {
-  base::time_point LedUntil =
-      DemotedSince ? *DemotedSince + DemotionPeriod
-                   : std::max(PrimaryAnsweredAt, PrimaryUnaskedAt);
-  bool IsLost = FailedProbes >= 2 &&
-                Now >= std::max(FirstFailureAt, LedUntil) + Options.VoteDelay;
+  base::time_point SilentSince = DemotedSince ? *DemotedSince + DemotionPeriod
+                                 : PrimaryAskedAt > PrimaryAnsweredAt
+                                     ? PrimaryAskedAt
+                                     : Now;
+  bool IsLost =
+      FailedProbes >= 2 &&
+      Now >= std::max(FirstFailureAt, SilentSince) + Options.VoteDelay;
   bool AreWritesLost = WriteTimeouts >= MinWriteTimeoutsToVote;
   return IsLost || AreWritesLost;
 }
