Bound the memory of claim requests and reject readings of the future

Found by reading: requests to silent readers stayed in the set of open requests until a reply came, and a reply with an extreme delay was added to a time point before it was checked.

--- a/packages/sessions/src/claim_watch.cpp
+++ b/packages/sessions/src/claim_watch.cpp
@@ -77,6 +77,7 @@
     return;
   }
   ReplyDeadline = Now + ReaderTimeout;
+  Asked.erase(Asked.begin(), Asked.lower_bound(Now - ReplyLifetime));
   Asked.insert(Now);
   Members.send(claim_request{Now, std::max(Now - NeededAt, base::duration{})},
                Readers[Reader]);
@@ -123,8 +124,9 @@
 
 void claim_watch::receive(const claim_reply &Reply, const std::string &Sender,
                           base::time_point Now) {
-  Asked.erase(Asked.begin(), Asked.lower_bound(Now - ReplyLifetime));
-  if (!Asked.contains(Reply.AskedAt))
+  bool IsAsked =
+      Asked.contains(Reply.AskedAt) && Now <= Reply.AskedAt + ReplyLifetime;
+  if (!IsAsked)
     return;
   const std::vector<std::string> &Readers = Members.claimReaders();
   bool IsAwaited =
@@ -134,14 +136,13 @@
       readerFailed(Now);
     return;
   }
-  // The reader received the request after it was sent, so this is no later than
-  // the read.
-  base::time_point ReadAt = Reply.AskedAt + *Reply.ReadDelay;
-  if (ReadAt > Now)
+  // The reader received the request after it was sent, so AskedAt + ReadDelay
+  // is no later than the read. A read in the future would never be outdated.
+  if (*Reply.ReadDelay > Now - Reply.AskedAt)
     return;
   if (IsAwaited)
     ReplyDeadline.reset();
-  handle({ReadAt, Reply.Range}, Now);
+  handle({Reply.AskedAt + *Reply.ReadDelay, Reply.Range}, Now);
 }
 
 void claim_watch::handle(const claim_reading &Reading, base::time_point Now) {
