--- a/packages/sessions/tests/claim_watch_test.cpp
+++ b/packages/sessions/tests/claim_watch_test.cpp
@@ -34,14 +34,14 @@
     advanceTime(1ms);
   }
 
-  /// Messages of the type \p message that h1 has sent since the last call, with
+  /// Messages of the type \p Payload that h1 has sent since the last call, with
   /// the addresses that they were sent to.
-  template <typename message>
-  std::vector<std::pair<std::string, message>> sent() {
-    std::vector<std::pair<std::string, message>> Result;
+  template <typename Payload>
+  std::vector<std::pair<std::string, Payload>> sent() {
+    std::vector<std::pair<std::string, Payload>> Result;
     for (const auto &[Address, Bytes] : std::exchange(Datagrams, {}))
       if (auto Datagram = decodeDatagram(Bytes))
-        if (const auto *Message = std::get_if<message>(&Datagram->Message))
+        if (const auto *Message = std::get_if<Payload>(&Datagram->Message))
           Result.emplace_back(Address, *Message);
     return Result;
   }
@@ -59,8 +59,8 @@
     return {};
   }
 
-  void answer(const std::pair<std::string, claim_request> &Asked,
-              const claim_reply &Reply) {
+  void deliver(const std::pair<std::string, claim_request> &Asked,
+               const claim_reply &Reply) {
     engine().datagramReceived(encodeDatagram({Asked.first, Reply}), now());
     advanceTime(1ms);
   }
@@ -122,19 +122,19 @@
 
 BOOST_FIXTURE_TEST_CASE(and_answer_it, fixture) {
   BOOST_TEST(ClaimReads == 0U);
-  answer(Asked, replyTo(Asked.second, 0ms));
+  deliver(Asked, replyTo(Asked.second, 0ms));
   BOOST_TEST(hasWritten(Session));
 }
 
 // Guards against a lease on a replaced primary by a read before its promotion.
 BOOST_FIXTURE_TEST_CASE(and_not_if_they_were_read_too_early, fixture) {
-  answer(Asked, replyTo(Asked.second, -5000ms));
+  deliver(Asked, replyTo(Asked.second, -5000ms));
   BOOST_TEST(answers(Session).empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(and_not_if_they_seem_to_be_read_in_the_future,
                         fixture) {
-  answer(Asked, replyTo(Asked.second, 5000ms));
+  deliver(Asked, replyTo(Asked.second, 5000ms));
   BOOST_TEST(answers(Session).empty());
 }
 
@@ -142,7 +142,7 @@
 BOOST_FIXTURE_TEST_CASE(and_not_by_a_reply_to_no_request, fixture) {
   claim_reply Reply = replyTo(Asked.second, 0ms);
   Reply.AskedAt += 1ms;
-  answer(Asked, Reply);
+  deliver(Asked, Reply);
   BOOST_TEST(answers(Session).empty());
 }
 
@@ -152,13 +152,13 @@
   auto Next = sent<claim_request>();
   BOOST_REQUIRE(!Next.empty());
   BOOST_TEST(Next.front().first != Asked.first);
-  answer(Next.front(), replyTo(Next.front().second, 0ms));
+  deliver(Next.front(), replyTo(Next.front().second, 0ms));
   BOOST_TEST(hasWritten(Session));
 }
 
 BOOST_FIXTURE_TEST_CASE(of_the_next_reader_at_once_if_the_store_refuses_one,
                         fixture) {
-  answer(Asked, {Asked.second.SentAt, std::nullopt, {}});
+  deliver(Asked, {Asked.second.SentAt, std::nullopt, {}});
   auto Next = sent<claim_request>();
   BOOST_REQUIRE(!Next.empty());
   BOOST_TEST(Next.front().first != Asked.first);
