--- a/packages/sessions/tests/claim_watch_test.cpp
+++ b/packages/sessions/tests/claim_watch_test.cpp
@@ -94,6 +94,30 @@
   BOOST_TEST(Fleet.ClaimReads == 2U);
 }
 
+// Guards against claims that are cut off at the end of a datagram.
+BOOST_AUTO_TEST_CASE(in_parts_that_fit_into_datagrams) {
+  claim_fleet Fleet(4);
+  constexpr std::size_t DatagramBytes = 1400;
+  for (int Index = 100; Index < 220; ++Index) {
+    std::string Name = "a-group-with-a-long-name-" + std::to_string(Index);
+    Fleet.Rows[{"promotions", Name}] = {
+        {"promotions", Name}, 5000, {{"term", 2}, {"done", true}}};
+  }
+  Fleet.request("h2", 350ms);
+  auto Replies = Fleet.sent<claim_reply>();
+  BOOST_REQUIRE(Replies.size() > 1U);
+  std::size_t Count = 0;
+  base::group_id From;
+  for (const auto &[Address, Reply] : Replies) {
+    BOOST_TEST(encodeDatagram({"h1:1", Reply}).size() <= DatagramBytes);
+    BOOST_TEST((Reply.Range.From == From));
+    From = Reply.Range.To;
+    Count += Reply.Range.Claims.size();
+  }
+  BOOST_TEST(From.empty());
+  BOOST_TEST(Count == 120U);
+}
+
 // Guards against a reader that a domain waits for although its store calls
 // fail.
 BOOST_AUTO_TEST_CASE(unless_the_store_does_not_answer) {
