--- a/packages/sessions/include/radishrelay/sessions/detail/claim_watch.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/claim_watch.h
@@ -24,10 +24,11 @@
 
 /// Reads the claims of all groups at once, for the hosts of a failure domain.
 ///
-/// A host that needs to know the claims asks a reader, a host that all hosts of
-/// the domain prefer, and reads by itself only if none of the readers can tell.
-/// One read answers all that ask in the meantime, so the calls to the store
-/// grow with neither hosts, groups nor commits.
+/// A host that needs to know the claims asks a reader, a host of the domain
+/// that up to 64 others ask first, and reads by itself only if none of the
+/// readers can tell. One read answers all that ask in the meantime, so the
+/// calls to the store grow with the number of readers, and not with groups or
+/// commits.
 class claim_watch {
 public:
   using reading_handler =
--- a/packages/sessions/tests/support/fake_fleet.h
+++ b/packages/sessions/tests/support/fake_fleet.h
@@ -20,7 +20,7 @@
   groups::term_number Fenced = 0;
   /// Whether the instance answers no request and accepts no connection.
   bool IsUnresponsive = false;
-  /// Whether new connections are rejected since there are too many.
+  /// Whether new connections are rejected as too many.
   bool RejectsConnections = false;
   /// Whether status calls are rejected as busy.
   bool RejectsStatusCalls = false;
