Probe a primary that is no member any more

It is now looked up with find; such a probe counts as before. is_probed_after_its_primary_was_removed guards the path.

--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -226,8 +226,10 @@
   IsPrimaryAsked = true;
   for (const base::instance_id &Instance : probeTargets(Now)) {
     bool IsSent = Pool.call(Instance, CallAccount, StatusCall, Now);
-    bool IsUnasked = !IsSent && Members.at(Instance).IsListed &&
-                     !Pool.isAnswerAwaited(Instance);
+    // The leader may have been removed from the members.
+    auto Member = Members.find(Instance);
+    bool IsListed = Member != Members.end() && Member->second.IsListed;
+    bool IsUnasked = !IsSent && IsListed && !Pool.isAnswerAwaited(Instance);
     if (isTakenForPrimary(Instance) && IsUnasked)
       IsPrimaryAsked = false;
   }
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -293,6 +293,16 @@
   BOOST_TEST(!hasVoted(*this));
 }
 
+// Guards against a process that ends because it probes a primary that is no
+// member any more.
+BOOST_FIXTURE_TEST_CASE(is_probed_after_its_primary_was_removed, fake_fleet) {
+  ask(connect("primary"), "read x");
+  listings().erase(base::instance_id("p"));
+  publishListings();
+  advanceTime(9000ms);
+  BOOST_CHECK_NO_THROW(ask(connect("primary"), "read x"));
+}
+
 BOOST_AUTO_TEST_SUITE(that_a_replica_has_left)
 
 /// A fleet whose replica r2, in the failure domain c, has announced that it is
