--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -293,8 +293,8 @@
   BOOST_TEST(!hasVoted(*this));
 }
 
-// Guards against a process that ends because it probes a primary that is no
-// member any more.
+// Guards against an exception when a primary that is no member any more is
+// needed. It does not reach the probe that ended a process in a hunt.
 BOOST_FIXTURE_TEST_CASE(is_probed_after_its_primary_was_removed, fake_fleet) {
   ask(connect("primary"), "read x");
   listings().erase(base::instance_id("p"));
