Reach the probe of a removed primary by a test

probes_a_primary_that_was_removed_from_its_group throws map::at with the fix of taken out and passes with it: a host that is no prober asks a suspected primary which was removed from the members.

--- a/packages/sessions/tests/members_test.cpp
+++ b/packages/sessions/tests/members_test.cpp
@@ -89,6 +89,20 @@
 
 BOOST_AUTO_TEST_SUITE(a_member_of_the_fleet)
 
+// Guards against a process that ends because a host that is no prober probes a
+// primary which is no member any more.
+BOOST_AUTO_TEST_CASE(probes_a_primary_that_was_removed_from_its_group) {
+  large_domain_fleet Fleet;
+  Fleet.ask(Fleet.connect("primary"), "write x 1");
+  Fleet.instance("p").IsUnresponsive = true;
+  Fleet.listings().erase(base::instance_id("p"));
+  Fleet.publishListings();
+  for (int Round = 0; Round < 40; ++Round) {
+    BOOST_REQUIRE_NO_THROW(Fleet.ask(Fleet.connect("primary"), "write x 2"));
+    BOOST_REQUIRE_NO_THROW(Fleet.advanceTime(300ms));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(holds_its_share_of_the_limits)
 
 BOOST_AUTO_TEST_CASE(
