--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,7 +5,7 @@
 program=$root/target/review-3/joining_replica
 [ -x "$program" ] || exit 2
 folder=$(mktemp -d) || exit 2
-RADISHRELAY_ROOT=$root timeout -k 5 100 "$program" "$folder" 1500 1000
+RADISHRELAY_ROOT=$root timeout -k 5 110 "$program" "$folder" 1500 1000
 result=$?
 rm -rf "$folder"
 [ $result -le 1 ] || result=2
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,10 +5,10 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
 cd review/stand-ins-3
-for name in platform group_under_cut; do
-  g++ -std=c++20 -O2 -Wall -Wextra -c $name.cpp -o ../../target/review-3/$name.o
-done
-for name in joining_replica; do
-  g++ -std=c++20 -O2 -Wall -Wextra $name.cpp ../../target/review-3/platform.o \
-    ../../target/review-3/group_under_cut.o -pthread -o ../../target/review-3/$name
+out=../../target/review-3
+flags=(-std=c++20 -O2 -Wall -Wextra -pthread)
+g++ "${flags[@]}" -c platform.cpp -o $out/platform.o
+g++ "${flags[@]}" -c group_under_cut.cpp -o $out/group_under_cut.o
+for name in joining_replica memory_limit late_commit; do
+  g++ "${flags[@]}" $name.cpp $out/platform.o $out/group_under_cut.o -o $out/$name
 done
--- a/review/stand-ins-3/memory_limit.cpp
+++ b/review/stand-ins-3/memory_limit.cpp
@@ -112,54 +112,6 @@
     Thread.join();
 }
 
-/// One client reads an item with 300 rows of the largest legal size.
-void readRows(int Port, std::atomic<bool> &) {
-  client Client;
-  if (!Client.start(Port, "queue", "key1"))
-    return;
-  record().line("read: " + Client.ask(HasTrouble ? "READ large" : "READ 1a4"));
-}
-
-/// 40 clients send a megabyte of empty lines each.
-void sendLines(int Port, std::atomic<bool> &IsOver) {
-  std::vector<std::unique_ptr<client>> Clients;
-  for (int Number = 0; Number < 40; ++Number) {
-    auto &Client = *Clients.emplace_back(std::make_unique<client>());
-    Client.start(Port, "queue", "key1");
-    limitSends(Client.socket());
-  }
-  std::string Bytes;
-  while (Bytes.size() + 2 < MaxMessage)
-    Bytes += "\r\n";
-  for (auto &Client : Clients)
-    if (!IsOver)
-      sendAll(Client->socket(), HasTrouble ? Bytes : "\r\n");
-  for (int Wait = 0; Wait < 20 && !IsOver; ++Wait)
-    std::this_thread::sleep_for(100ms);
-}
-
-/// 8 clients set one value again and again and read no answer.
-void readNothing(int Port, std::atomic<bool> &IsOver) {
-  std::vector<std::thread> Threads;
-  for (int Number = 0; Number < 8; ++Number)
-    Threads.emplace_back([&] {
-      client Client;
-      if (!Client.start(Port, "queue", "key1"))
-        return;
-      limitSends(Client.socket());
-      std::string Bytes;
-      for (int Count = 0; Count < 1000; ++Count)
-        Bytes += "QUERY " + std::to_string(Count) + "x SET v 1\r\n";
-      for (int Count = 0; Count < (HasTrouble ? 4000 : 1) && !IsOver; ++Count)
-        if (!sendAll(Client.socket(), Bytes))
-          break;
-      for (int Wait = 0; Wait < 20 && !IsOver; ++Wait)
-        std::this_thread::sleep_for(100ms);
-    });
-  for (std::thread &Thread : Threads)
-    Thread.join();
-}
-
 /// Asks ordinary statements until one is served.
 bool isServed(const daemon_process &Daemon, std::chrono::seconds Limit) {
   auto Until = std::chrono::steady_clock::now() + Limit;
@@ -222,9 +174,6 @@
   std::string Folder = Values[2];
   crowd Crowd = Name == "values"  ? setValues
                 : Name == "halves" ? stopHalfWay
-                : Name == "rows" ? readRows
-                : Name == "lines" ? sendLines
-                : Name == "unread" ? readNothing
                                    : sendAhead;
   HasTrouble = !getenv("TROUBLE") || std::string(getenv("TROUBLE")) != "0";
   record().open("record.txt");
@@ -233,7 +182,6 @@
   static store Store;
   static database_group Group;
   static duty_service Duties;
-  Group.LargeRows = 300;
   Store.start();
   Duties.start({{"huvo11a", [](const std::string &Id) { return Group.promote(Id); }}});
   Store.put("op", "config", configuration("huvo11a", 7));
--- a/review/stand-ins-3/platform.cpp
+++ b/review/stand-ins-3/platform.cpp
@@ -564,10 +564,6 @@
   record().line("run " + Instance.Id + " " + Session.Tenant + " " + Id + " " +
                 Text);
   std::string Rows = Writes || IsCommit ? "" : "ROW abc\r\n";
-  constexpr std::size_t MaxRow = 1024 * 1024 - 6;
-  if (Text == "READ large")
-    for (int Count = 0; Count < LargeRows; ++Count)
-      Rows += "ROW " + std::string(MaxRow, 'r') + "\r\n";
   return Rows + "COMPLETE r." + Instance.Id + "." +
          std::to_string(++Receipts) + "\r\n" + end(Instance, Session);
 }
--- a/review/stand-ins-3/platform.h
+++ b/review/stand-ins-3/platform.h
@@ -131,8 +131,6 @@
   const std::string &service() const { return Service; }
   /// Time that a read, write or commit takes.
   int WorkMs = 5;
-  /// Rows of the item "large", each a message of the largest legal size.
-  int LargeRows = 0;
 
 private:
   struct instance {
