End the review's daemons with their stand-in, and record what crowds send

Cause: a stand-in that was killed from outside left its daemons running, and the record of cases 14 and 15 held no lines of the crowds. The daemons now get SIGKILL when the stand-in ends; crowds write what they send and get, without line ends inside a line.

--- a/review/stand-ins-3/memory_limit.cc
+++ b/review/stand-ins-3/memory_limit.cc
@@ -57,11 +57,15 @@
   line_reader Reader(Client.socket());
   std::string Line;
   for (int Number = 0; Number < 400 && !IsOver; ++Number) {
-    if (!sendAll(Client.socket(),
-                 message("SET v" + std::to_string(Number) + " ")))
+    std::string Bytes = message("SET v" + std::to_string(Number) + " ");
+    record().line("client < " + Bytes);
+    if (!sendAll(Client.socket(), Bytes))
       return;
-    while (Reader.next(Line, 3000) && Line.rfind("READY", 0) != 0)
-      ;
+    while (Reader.next(Line, 3000)) {
+      record().line("client > " + Line);
+      if (Line.rfind("READY", 0) == 0)
+        break;
+    }
   }
 }
 
@@ -69,7 +73,7 @@
 void sendAhead(int Port, std::atomic<bool> &IsOver) {
   std::vector<std::thread> Threads;
   for (int Number = 0; Number < 8; ++Number)
-    Threads.emplace_back([&] {
+    Threads.emplace_back([&, Number] {
       client Client;
       if (!Client.start(Port, "queue", "key1"))
         return;
@@ -77,11 +81,15 @@
       line_reader Reader(Client.socket());
       std::string Line;
       for (int Count = 0; Count < 60 && !IsOver; ++Count) {
-        if (!sendAll(Client.socket(), message("WRITE 1a4 ")))
+        std::string Bytes = message("WRITE 1a4 ");
+        record().line("client " + std::to_string(Number) + " < " + Bytes);
+        if (!sendAll(Client.socket(), Bytes))
           return;
-        while (!HasTrouble && Reader.next(Line, 3000) &&
-               Line.rfind("READY", 0) != 0)
-          ;
+        while (!HasTrouble && Reader.next(Line, 3000)) {
+          record().line("client " + std::to_string(Number) + " > " + Line);
+          if (Line.rfind("READY", 0) == 0)
+            break;
+        }
       }
       for (int Wait = 0; Wait < 20 && !IsOver; ++Wait)
         std::this_thread::sleep_for(100ms);
--- a/review/stand-ins-3/platform.cc
+++ b/review/stand-ins-3/platform.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -121,6 +122,9 @@
                           ? Text.substr(0, MaxShown) + "... (" +
                                 std::to_string(Text.size()) + " bytes)"
                           : Text;
+  for (char &Character : Shown)
+    if (Character == '\r' || Character == '\n')
+      Character = ' ';
   std::string Line = Time + Shown + "\n";
   [[maybe_unused]] auto Written = write(Descriptor, Line.data(), Line.size());
 }
@@ -664,6 +668,7 @@
   std::string Log = Folder + "/" + Id + ".log";
   Pid = fork();
   if (Pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // also if this program is ended
     int Out = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(Out, 1);
     dup2(Out, 2);
