Drop the lesser memory case and number the others from 12

Cause: a graver case takes its place. Case 11 becomes 12, 12 becomes 13, 13 becomes 14, 14 becomes 15; the old 15 (8 clients that send 60 writes of 1 MiB ahead) goes, and its part of memory_limit.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -2,10 +2,10 @@
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run.
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
-program=$root/target/review-3/memory_limit
+program=$root/target/review-3/withdrawn_key
 [ -x "$program" ] || exit 2
 folder=$(mktemp -d) || exit 2
-RADISHRELAY_ROOT=$root timeout -k 5 110 "$program" values "$folder"
+RADISHRELAY_ROOT=$root timeout -k 5 110 "$program" "$folder"
 result=$?
 rm -rf "$folder"
 [ $result -le 1 ] || result=2
--- a/review/stand-ins-3/memory_limit.cc
+++ b/review/stand-ins-3/memory_limit.cc
@@ -1,9 +1,8 @@
-// Clients that send messages of legal size to two daemons of a small
+// A client that sends messages of legal size to two daemons of a small
 // deployment. The platform ends a process that exceeds the memory of its
 // machine; this program does so in its place, and starts the process again.
 //
-// memory_limit CROWD FOLDER; TROUBLE=0 lets the same clients send short
-// messages and read their answers.
+// memory_limit FOLDER; TROUBLE=0 lets the same client send short messages.
 #include "platform.hh"
 
 #include <signal.h>
@@ -45,8 +44,6 @@
   setsockopt(Socket, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof(Limit));
 }
 
-using crowd = void (*)(int Port, std::atomic<bool> &IsOver);
-
 /// One client sets 400 session values, one after the other, and reads each
 /// answer.
 void setValues(int Port, std::atomic<bool> &IsOver) {
@@ -69,35 +66,6 @@
   }
 }
 
-/// 8 clients send 60 writes each ahead, without reading an answer.
-void sendAhead(int Port, std::atomic<bool> &IsOver) {
-  std::vector<std::thread> Threads;
-  for (int Number = 0; Number < 8; ++Number)
-    Threads.emplace_back([&, Number] {
-      client Client;
-      if (!Client.start(Port, "queue", "key1"))
-        return;
-      limitSends(Client.socket());
-      line_reader Reader(Client.socket());
-      std::string Line;
-      for (int Count = 0; Count < 60 && !IsOver; ++Count) {
-        std::string Bytes = message("WRITE 1a4 ");
-        record().line("client " + std::to_string(Number) + " < " + Bytes);
-        if (!sendAll(Client.socket(), Bytes))
-          return;
-        while (!HasTrouble && Reader.next(Line, 3000)) {
-          record().line("client " + std::to_string(Number) + " > " + Line);
-          if (Line.rfind("READY", 0) == 0)
-            break;
-        }
-      }
-      for (int Wait = 0; Wait < 20 && !IsOver; ++Wait)
-        std::this_thread::sleep_for(100ms);
-    });
-  for (std::thread &Thread : Threads)
-    Thread.join();
-}
-
 /// Asks ordinary statements until one is served.
 bool isServed(const daemon_process &Daemon, std::chrono::seconds Limit) {
   auto Until = std::chrono::steady_clock::now() + Limit;
@@ -117,14 +85,14 @@
   return false;
 }
 
-/// Plays the crowd against one daemon. Returns whether its process ended.
-bool playRound(daemon_process &Daemon, crowd Crowd) {
+/// Plays the client against one daemon. Returns whether its process ended.
+bool playRound(daemon_process &Daemon) {
   record().line(Daemon.id() + " has " + std::to_string(Daemon.residentKb()) +
-                " kB; the crowd comes");
+                " kB; the client comes");
   std::atomic<bool> IsOver = false;
   std::atomic<bool> HasLeft = false;
   std::thread Clients([&] {
-    Crowd(Daemon.front(), IsOver);
+    setValues(Daemon.front(), IsOver);
     HasLeft = true;
   });
   auto Until = std::chrono::steady_clock::now() + RoundTime;
@@ -153,15 +121,13 @@
 } // namespace
 
 int main(int Count, char **Values) {
-  if (Count != 3)
+  if (Count != 2)
     return 2;
   signal(SIGPIPE, SIG_IGN);
-  std::string Name = Values[1];
-  std::string Folder = Values[2];
-  crowd Crowd = Name == "values" ? setValues : sendAhead;
+  std::string Folder = Values[1];
   HasTrouble = !getenv("TROUBLE") || std::string(getenv("TROUBLE")) != "0";
   record().open("record.txt");
-  record().line("crowd " + Name + (HasTrouble ? "" : " (TROUBLE=0)"));
+  record().line(HasTrouble ? "long values" : "short values (TROUBLE=0)");
 
   static store Store;
   static database_group Group;
@@ -186,7 +152,7 @@
   for (daemon_process *Daemon : {&First, &Second}) {
     int Ends = 0;
     for (int Round = 0; CanRun && Round < EndsWanted; ++Round) {
-      if (!playRound(*Daemon, Crowd))
+      if (!playRound(*Daemon))
         continue;
       ++Ends;
       Daemon->start();
