Show the loss of a whole database by a kill during a release, case 11

Claim: while the instances of a database are replaced, all daemons are killed between the claim of the planned promotion and its order. They are back after 0.5 s, but promote none of the instances that have the log in the 7 s and more that these last, and then one with an empty log.

--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Exit 1: the rule was broken; 0: it held; 2: the case could not run.
+cd "$(dirname "$0")" || exit 2
+root=$(cd ../.. && pwd)
+program=$root/target/review-3/rolling_release
+[ -x "$program" ] || exit 2
+folder=$(mktemp -d) || exit 2
+RADISHRELAY_ROOT=$root timeout -k 5 110 "$program" "$folder"
+result=$?
+rm -rf "$folder"
+[ $result -le 1 ] || result=2
+exit $result
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,8 +7,10 @@
 cd review/stand-ins-3
 out=../../target/review-3
 flags=(-std=c++20 -O2 -Wall -Wextra -pthread)
-g++ "${flags[@]}" -c platform.cc -o $out/platform.o
-g++ "${flags[@]}" -c group_under_cut.cc -o $out/group_under_cut.o
-for name in joining_replica memory_limit late_commit withdrawn_key; do
-  g++ "${flags[@]}" $name.cc $out/platform.o $out/group_under_cut.o -o $out/$name
+for name in platform group_under_cut writing_clients; do
+  g++ "${flags[@]}" -c $name.cc -o $out/$name.o
+done
+for name in rolling_release joining_replica late_commit withdrawn_key memory_limit; do
+  g++ "${flags[@]}" $name.cc $out/platform.o $out/group_under_cut.o \
+    $out/writing_clients.o -o $out/$name
 done
--- a/review/stand-ins-3/group_under_cut.cc
+++ b/review/stand-ins-3/group_under_cut.cc
@@ -1,5 +1,7 @@
 #include "group_under_cut.hh"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <thread>
 
@@ -55,6 +57,8 @@
 
 void group_under_cut::checkIn(instance &Instance) {
   std::lock_guard Lock(Mutex);
+  if (Instance.IsGone)
+    return;
   std::vector<std::string> Addresses;
   for (const auto &Front : Instance.Fronts)
     Addresses.push_back(Front->address());
@@ -83,6 +87,18 @@
   checkIn(of(Id));
 }
 
+void group_under_cut::remove(const std::string &Id) {
+  std::lock_guard Lock(Mutex);
+  instance &Instance = of(Id);
+  Instance.IsGone = true;
+  Instance.IsPrimary = false;
+  for (int Socket : Instance.Sockets)
+    shutdown(Socket, SHUT_RDWR);
+  Store.put("servers", Id, nullptr);
+  record().line("instance " + Id + " ends");
+  Changed.notify_all();
+}
+
 void group_under_cut::setCut(std::size_t Daemon, const std::string &Id,
                              bool IsCut) {
   std::lock_guard Lock(Mutex);
@@ -124,6 +140,18 @@
 
 void group_under_cut::serve(instance &Instance, std::size_t Daemon,
                             int Socket) {
+  {
+    std::lock_guard Lock(Mutex);
+    if (Instance.IsGone)
+      return;
+    Instance.Sockets.insert(Socket);
+  }
+  talk(Instance, Daemon, Socket);
+  std::lock_guard Lock(Mutex);
+  Instance.Sockets.erase(Socket);
+}
+
+void group_under_cut::talk(instance &Instance, std::size_t Daemon, int Socket) {
   line_reader Reader(Socket);
   session Session;
   std::string Line;
@@ -280,8 +308,8 @@
   auto IsReceived = [&] {
     int Count = 0;
     for (const auto &Other : Instances)
-      Count += Other.get() != &Instance && Other->Term == Term &&
-                       Other->Log.size() >= Size &&
+      Count += Other.get() != &Instance && !Other->IsGone &&
+                       Other->Term == Term && Other->Log.size() >= Size &&
                        Other->Log[Size - 1] == Writes.back()
                    ? 1
                    : 0;
@@ -297,7 +325,7 @@
 void group_under_cut::replicate() {
   // A replica follows the primary of the highest term that it can reach.
   for (auto &Replica : Instances) {
-    if (Replica->IsPrimary)
+    if (Replica->IsPrimary || Replica->IsGone)
       continue;
     instance *Leader = nullptr;
     for (auto &Instance : Instances)
@@ -317,7 +345,7 @@
     std::lock_guard Lock(Mutex);
     auto Found = std::ranges::find_if(
         Instances, [&](const auto &Instance) { return Instance->Id == Id; });
-    if (Found == Instances.end())
+    if (Found == Instances.end() || (*Found)->IsGone)
       return 409;
     if ((*Found)->IsPrimary)
       return 200;
@@ -326,6 +354,8 @@
     std::this_thread::sleep_for(300ms);
     std::unique_lock Lock(Mutex);
     instance &Instance = of(Id);
+    if (Instance.IsGone)
+      return;
     Instance.IsPrimary = true;
     Instance.Term = ++LeaderTerm;
     Instance.Held = 0;
--- a/review/stand-ins-3/group_under_cut.hh
+++ b/review/stand-ins-3/group_under_cut.hh
@@ -23,6 +23,8 @@
   std::string add(const std::string &Zone,
                   std::chrono::milliseconds CheckInDelay);
   void setDraining(const std::string &Id);
+  /// Ends an instance: its log is gone, and its entry.
+  void remove(const std::string &Id);
   /// Holds up all bytes between a daemon and an instance, or ends that.
   void setCut(std::size_t Daemon, const std::string &Id, bool IsCut);
   /// Holds up the log between two instances, or ends that.
@@ -44,11 +46,12 @@
 private:
   struct instance {
     std::string Id, Zone;
-    bool IsPrimary = false, IsDraining = false;
+    bool IsPrimary = false, IsDraining = false, IsGone = false;
     std::uint64_t Term = 1, Held = 0, Sequence = 0;
     std::vector<std::string> Log;
     std::vector<std::unique_ptr<server>> Fronts;
     std::set<std::size_t> Cut;
+    std::set<int> Sockets;
     std::int64_t Born = 0;
     position end() const { return {Term, 1000 + Log.size()}; }
   };
@@ -62,6 +65,7 @@
   };
 
   void serve(instance &Instance, std::size_t Daemon, int Socket);
+  void talk(instance &Instance, std::size_t Daemon, int Socket);
   void awaitPath(const instance &Instance, std::size_t Daemon);
   std::string query(instance &Instance, session &Session, std::string Fields);
   std::string end(const instance &Instance, const session &Session) const;
--- a/review/stand-ins-3/joining_replica.cc
+++ b/review/stand-ins-3/joining_replica.cc
@@ -7,6 +7,7 @@
 // the start of the new replica, and from that to its first check-in.
 // TROUBLE=0: no cut.
 #include "group_under_cut.hh"
+#include "writing_clients.hh"
 
 #include <signal.h>
 #include <unistd.h>
@@ -20,58 +21,6 @@
 using namespace review;
 using namespace std::chrono_literals;
 
-namespace {
-
-struct written {
-  std::string Text;
-  double AnsweredAt;
-};
-
-std::mutex Mutex;
-std::vector<written> Written;
-std::atomic<bool> IsOver = false;
-
-/// Writes without a break, a new text each time.
-void keepWriting(const daemon_process &Daemon, const std::string &Name) {
-  std::unique_ptr<client> Client;
-  for (int Number = 0; !IsOver; ++Number) {
-    if (!Client) {
-      Client = std::make_unique<client>();
-      if (!Client->start(Daemon.front(), "filing", "key1")) {
-        Client.reset();
-        std::this_thread::sleep_for(50ms);
-        continue;
-      }
-    }
-    std::string Text = "WRITE 1a4 " + Name + "-" + std::to_string(Number);
-    record().line(Daemon.id() + " < " + Text);
-    std::string Outcome = Client->ask(Text);
-    double Now = record().now();
-    record().line(Daemon.id() + " > " + Text + ": " + Outcome);
-    if (Outcome.rfind("COMPLETE r", 0) == 0) {
-      std::lock_guard Lock(Mutex);
-      Written.push_back({Text, Now});
-    } else if (Outcome == "no answer") {
-      Client.reset();
-    }
-    std::this_thread::sleep_for(30ms);
-  }
-}
-
-bool isServed(const daemon_process &Daemon) {
-  for (int Try = 0; Try < 150; ++Try) {
-    client Client;
-    if (Client.start(Daemon.front(), "filing", "key1") &&
-        Client.ask("WRITE 1a4 first-" + newId()).rfind("COMPLETE r", 0) == 0)
-      return true;
-    std::this_thread::sleep_for(200ms);
-  }
-  record().line(Daemon.id() + " serves no write");
-  return false;
-}
-
-} // namespace
-
 int main(int Count, char **Values) {
   signal(SIGPIPE, SIG_IGN);
   std::string Folder = Values[1];
@@ -106,11 +55,9 @@
   bool CanRun = true;
   for (auto &Daemon : Daemons)
     CanRun = CanRun && isServed(*Daemon);
-  std::vector<std::thread> Writers;
+  writing_clients Writers;
   for (int Number = 0; Number < 3; ++Number)
-    Writers.emplace_back([&, Number] {
-      keepWriting(*Daemons[2], "w" + std::to_string(Number));
-    });
+    Writers.start(*Daemons[2], "w" + std::to_string(Number));
   std::this_thread::sleep_for(1s);
   double CutAt = record().now();
   if (HasTrouble) {
@@ -130,15 +77,12 @@
     Group.setCut(Daemon, Primary, false);
   record().line("the cut ends");
   std::this_thread::sleep_for(1s);
-  IsOver = true;
-  for (std::thread &Writer : Writers)
-    Writer.join();
+  Writers.stop();
   for (auto &Daemon : Daemons)
     Daemon->kill();
   double PromotedAt = Group.promotedAt();
-  std::set<std::string> Before, After;
-  for (const written &Write : Written)
-    (Write.AnsweredAt < PromotedAt ? Before : After).insert(Write.Text);
+  std::set<std::string> Before = Writers.answeredBefore(PromotedAt);
+  std::set<std::string> After = Writers.answeredFrom(PromotedAt);
   std::vector<std::string> Lost = Group.missing(Before);
   std::vector<std::string> Late;
   for (const std::string &Text : Group.committedLate())
@@ -153,12 +97,12 @@
                   Text);
   bool IsBroken = PromotedAt > 0 && (!Lost.empty() || !Late.empty());
   int Result = !CanRun ? 2 : IsBroken ? 1 : 0;
-  record().line(std::to_string(Written.size()) + " writes answered, " +
-                std::to_string(Lost.size()) + " lost, " +
+  record().line(std::to_string(Before.size() + After.size()) +
+                " writes answered, " + std::to_string(Lost.size()) + " lost, " +
                 std::to_string(Late.size()) + " late; result " +
                 std::to_string(Result));
-  std::cout << Written.size() << " writes, lost " << Lost.size() << ", late "
-            << Late.size() << ", promoted " << PromotedAt - CutAt
+  std::cout << Before.size() + After.size() << " writes, lost " << Lost.size()
+            << ", late " << Late.size() << ", promoted " << PromotedAt - CutAt
             << " ms after the cut; result " << Result << std::endl;
   _exit(Result);
 }
