--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run.
+# TROUBLE=0 does the same without the disruption.
+export TROUBLE=${TROUBLE:-1}
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
 program=$root/target/review-3/rolling_release
