--- a/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/fleet_members.h
@@ -41,6 +41,15 @@
                   base::time_point Now);
   /// Whether the members table has been read.
   [[nodiscard]] bool isKnown() const { return ReadAt.has_value(); }
+  /// Another host of the fleet.
+  struct peer {
+    std::string Name;
+    base::failure_domain_id Domain;
+    std::string Address;
+
+    friend bool operator==(const peer &, const peer &) = default;
+  };
+  [[nodiscard]] std::vector<peer> others() const;
   /// Addresses of up to \p Count other hosts, different ones for each host.
   [[nodiscard]] std::vector<std::string> someOthers(std::size_t Count) const;
   /// Compares the digest in a watcher's report with the members known here; a
--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -4,6 +4,7 @@
 #include "radishrelay/sessions/catalog.h"
 #include "radishrelay/sessions/detail/backend_pool.h"
 #include "radishrelay/sessions/detail/claim_watch.h"
+#include "radishrelay/sessions/detail/commit_survey.h"
 #include "radishrelay/sessions/detail/fleet_members.h"
 #include "radishrelay/sessions/detail/promotion_votes.h"
 #include "radishrelay/sessions/detail/store_calls.h"
@@ -31,7 +32,8 @@
   group_supervisor(base::group_id Group, const engine_options &Options,
                    backend_pool &Pool, store_calls &Store,
                    const store_history &History, fleet_members &Members,
-                   claim_watch &Claims, event_log &Log);
+                   claim_watch &Claims, event_log &Log,
+                   base::time_point StartedAt);
 
   /// Updates the members of the group from the instances of all groups that the
   /// platform lists.
@@ -72,18 +74,18 @@
   /// The latest primary even if its lease has run out. A write may be sent to
   /// it, since the client is told of its commit under a confirmed lease alone.
   [[nodiscard]] std::optional<base::instance_id> primaryForWrites() const;
-  /// Until when a commit that runs on \p Instance may be acknowledged: in the
-  /// failure domain of the primary, as long as the primary and a listed replica
-  /// are proved. While the domain is cut off, an instance that nobody outside
-  /// knows may confirm commits, and a promotion outside would lose them.
-  [[nodiscard]] base::time_point
-  commitAwaitedUntil(const base::instance_id &Instance) const;
-  /// Whether \p Instance was the primary when it acknowledged the commit at
-  /// \p Position, at \p AcknowledgedAt; empty if this is not known yet.
+  /// Whether the client may be told of the commit at \p Position, which
+  /// \p Instance acknowledged at \p AcknowledgedAt: the instance was the
+  /// primary then, and a promotion that follows keeps the commit. Empty if this
+  /// is not known yet.
   [[nodiscard]] std::optional<bool>
   isCommitProved(const base::instance_id &Instance,
                  std::optional<groups::log_position> Position,
                  base::time_point AcknowledgedAt) const;
+  /// Records that a client is told of the commit at \p Position.
+  void recordCommitTold(groups::log_position Position) {
+    Told = std::max(Told.value_or(Position), Position);
+  }
   /// Called while a commit waits for isCommitProved().
   void requestCommitProof(base::time_point AcknowledgedAt,
                           base::time_point Now);
@@ -132,6 +134,12 @@
   void receive(const promotion_vote &Vote, base::time_point Now) {
     Votes.receive(Vote, Now);
   }
+  /// Reports the commits that clients were told of, and gives up the lease.
+  void receive(const commit_inquiry &Inquiry, const std::string &ReplyTo,
+               base::time_point Now);
+  void receive(const commit_report &Report, base::time_point Now) {
+    Survey.receive(Report, Now);
+  }
   /// Handles a read of the group's claim that was sent at \p ReadAt.
   void claimRead(const group_claim &Claim, base::time_point ReadAt,
                  base::time_point Now);
@@ -173,11 +181,8 @@
   /// is known, is listed as the primary.
   [[nodiscard]] bool isTakenForPrimary(const base::instance_id &Instance) const;
 
-  /// Whether commits on \p Primary may be confirmed by an instance that has
-  /// started without being listed, so that they prove nothing. Only the
-  /// hosts that share the failure domain of the primary reach it while that
-  /// domain is cut off.
-  [[nodiscard]] bool mayUnlistedConfirm(const base::instance_id &Primary) const;
+  /// Whether \p Instance is in the failure domain of this host.
+  [[nodiscard]] bool isInOwnDomain(const base::instance_id &Instance) const;
   /// Renews the proof before it expires: asks other hosts first, then probes.
   void seekProof(base::time_point Now);
   void requestProofFromProbers(base::time_point Now);
@@ -238,8 +243,10 @@
   /// known term.
   [[nodiscard]] bool doesPrimaryLead(base::time_point Now) const;
   void startPromotion(base::time_point Now, std::string_view Reason);
+  /// Asks the other hosts about their commits while the promotion needs that.
+  void advanceSurvey(base::time_point Now);
   void executeActions(const promotion_actions &Actions, base::time_point Now);
-  void updateMembers();
+  void updateMembers(base::time_point Now);
 
   base::group_id Group;
   engine_options Options;
@@ -256,6 +263,10 @@
   group_leadership Leadership;
   promotion Promotion;
   promotion_votes Votes;
+  commit_survey Survey;
+  base::time_point StartedAt;
+  /// Position of the last commit that a client was told of.
+  std::optional<groups::log_position> Told;
   std::map<base::instance_id, member_state> Members;
   /// Failure domains of the listed instances of all groups.
   std::set<base::failure_domain_id> ListedDomains;
--- a/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
@@ -60,6 +60,8 @@
   /// PositionAge before this reply.
   std::optional<groups::log_position> Position;
   base::duration PositionAge{};
+  /// Highest position that a replica has shown.
+  std::optional<groups::log_position> Replicated{};
 
   friend bool operator==(const proof_reply &, const proof_reply &) = default;
 };
@@ -76,6 +78,33 @@
                          const promotion_vote &) = default;
 };
 
+/// Asks which commits the receiver has acknowledged to its clients, for a
+/// promotion that has fenced the replicas. The receiver gives up its lease.
+struct commit_inquiry {
+  base::group_id Group;
+  groups::term_number Term = 0;
+  /// Identifies the inquiry of the sender; the report returns it.
+  std::uint64_t Round = 0;
+
+  friend bool operator==(const commit_inquiry &,
+                         const commit_inquiry &) = default;
+};
+
+/// Answers a commit_inquiry.
+struct commit_report {
+  base::group_id Group;
+  std::uint64_t Round = 0;
+  base::host_id Host;
+  /// Time since the start of the sender, which knows no commit of an earlier
+  /// run.
+  base::duration RunningFor{};
+  /// Position of the last commit of the term that it has acknowledged, if any.
+  std::optional<groups::log_position> Acknowledged{};
+
+  friend bool operator==(const commit_report &,
+                         const commit_report &) = default;
+};
+
 /// Requests the receiver's watch_report.
 struct report_request {
   friend bool operator==(const report_request &,
@@ -133,9 +162,10 @@
   friend bool operator==(const claim_reply &, const claim_reply &) = default;
 };
 
-using peer_message = std::variant<token_request, token_grant, proof_request,
-                                  proof_reply, promotion_vote, watch_report,
-                                  report_request, claim_request, claim_reply>;
+using peer_message =
+    std::variant<token_request, token_grant, proof_request, proof_reply,
+                 promotion_vote, watch_report, report_request, claim_request,
+                 claim_reply, commit_inquiry, commit_report>;
 
 /// A message with the address to which replies are sent.
 struct peer_datagram {
--- a/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/store_watch.h
@@ -26,6 +26,9 @@
       std::chrono::milliseconds(2300);
 
   void setWatcher(bool Value) { IsWatcher = Value; }
+  /// Sets whether a promotion of this host may need a current list, so that no
+  /// call may wait for long.
+  void setPromoting(bool Value) { IsPromoting = Value; }
 
   /// Returns how long a call that starts now is to wait for a change, zero for
   /// a plain read; empty if no call is due. At most one call per source is in
@@ -98,6 +101,7 @@
 
   std::array<source, WatchedSources> Sources;
   bool IsWatcher = false;
+  bool IsPromoting = false;
   bool HasUpdate = false;
 };
 
--- a/packages/sessions/include/radishrelay/sessions/group_leadership.h
+++ b/packages/sessions/include/radishrelay/sessions/group_leadership.h
@@ -7,6 +7,7 @@
 #include "radishrelay/sessions/claim_view.h"
 #include "radishrelay/sessions/instance_status.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -17,10 +18,20 @@
 /// Tracks what this host can prove about the primary of one database group.
 ///
 /// A promotion first fences all instances but one, then waits for the lease
-/// duration. If, after some time point, the primary and one other instance were
-/// both unfenced, no promotion takes effect between that time point and the end
-/// of the lease that it begins. Each further such proof extends the lease if it
-/// arrives before the lease has run out.
+/// duration. If, after some time point, the primary and one other instance that
+/// every promotion has to fence were both unfenced, no promotion takes effect
+/// between that time point and the end of the lease that it begins. Each
+/// further such proof extends the lease if it arrives before the lease has run
+/// out. An acknowledged commit shows that the primary leads, but not which
+/// replica has confirmed it: one that is not listed yet is fenced by nobody.
+///
+/// A replica that has just been listed may be unknown to a promotion that is in
+/// progress. For MemberTrialPeriod, or until the claim shows no attempt, it
+/// proves the primary only together with all other members.
+///
+/// A host that promotes asks the others which commits they have acknowledged.
+/// With its answer, a host gives up its lease (see release()), so that it
+/// acknowledges no more of them until the primary is proved anew.
 ///
 /// A proof says nothing about earlier promotions: after one has taken effect,
 /// its fences are removed, and a replica that has not heard of it still follows
@@ -39,12 +50,10 @@
       : LeaseDuration(LeaseDuration) {}
 
   /// Sets the instances that may belong to the group.
-  void setMembers(std::set<base::instance_id> NewMembers);
-  /// Sets whether an acknowledged commit is held by at least one replica.
-  void setCommitsReplicated(bool Value) { AreCommitsReplicated = Value; }
+  void setMembers(std::set<base::instance_id> NewMembers, base::time_point Now);
 
-  /// Records that \p Instance acknowledged a commit sent at \p SentAt. This is
-  /// a proof if a replica has received it.
+  /// Records that \p Instance acknowledged a commit sent at \p SentAt, so that
+  /// it was the primary then.
   void recordCommit(const base::instance_id &Instance,
                     groups::log_position Position, base::time_point SentAt,
                     base::time_point Now);
@@ -63,12 +72,43 @@
   void recordClaim(const claim_view &Claim, base::time_point ReadAt,
                    base::time_point Now);
   /// Whether \p Instance was the primary when it acknowledged a commit of
-  /// \p CommitTerm at \p AcknowledgedAt: a confirmed lease covers that time
-  /// point, or a read of the claim vouches for it. Empty if this is not known
-  /// yet.
+  /// \p CommitTerm at \p AcknowledgedAt: a confirmed lease has not ended before
+  /// that time point, or a read of the claim vouches for it. Empty if this is
+  /// not known yet.
   [[nodiscard]] std::optional<bool> ledAt(base::time_point AcknowledgedAt,
                                           const base::instance_id &Instance,
                                           groups::term_number CommitTerm) const;
+  /// Whether a commit that \p Instance acknowledged at \p AcknowledgedAt is in
+  /// the log of every instance that may be promoted later: a listed replica has
+  /// shown its position, or this host can still be asked for it by the next
+  /// promotion, since that had not begun, or not outlasted a lease, by then.
+  [[nodiscard]] bool isKept(const base::instance_id &Instance,
+                            groups::log_position Position,
+                            base::time_point AcknowledgedAt) const;
+  /// Up to when a read of the claim vouches for acknowledged commits.
+  [[nodiscard]] base::time_point atRestUntil() const { return AtRestUntil; }
+  /// Ends the lease for a host that promotes an instance. Only proofs sent
+  /// after \p Now count from now on.
+  void release(base::time_point Now);
+  /// Records that an instance of the term \p LeaderTerm was the primary, as
+  /// the claim of a promotion shows, without a proof.
+  void recordLeader(const base::instance_id &Instance,
+                    groups::term_number LeaderTerm);
+  /// Highest position that a replica has shown under the present leader, and
+  /// that a promotion in progress takes into account. A log that ends before it
+  /// may lack acknowledged commits.
+  [[nodiscard]] std::optional<groups::log_position> replicatedPosition() const {
+    return Replicated;
+  }
+  /// For which time a read of the claim has to vouch so that all members may
+  /// prove the primary; empty if they may, or if no read is due.
+  [[nodiscard]] std::optional<base::time_point>
+  trialClaimNeededAt(base::time_point Now) const;
+  /// Records a position that replicatedPosition() of another host or of an
+  /// earlier run has shown.
+  void recordReplicated(groups::log_position Position) {
+    Replicated = std::max(Replicated.value_or(Position), Position);
+  }
   /// Confirms the lease that is running, if all members have answered since,
   /// are unfenced and know no later term. Members that were removed since the
   /// claim was last read may know one.
@@ -158,6 +198,8 @@
     base::time_point SentAt;
     base::time_point ArrivedAt;
   };
+  /// An instance, with the time at which it became a member.
+  using joined_members = std::map<base::instance_id, base::time_point>;
   /// A lease that no claim has confirmed yet.
   struct unconfirmed_lease {
     base::instance_id Primary;
@@ -168,27 +210,36 @@
   };
 
   void prove(const proof &Proof);
-  void proveFromStatuses();
+  void proveFromStatuses(base::time_point Now);
+  /// Records how far the replicas have followed the leader.
+  void recordReplicas(base::time_point Now);
   /// Confirms the lease that is running if the last read of the claim vouches
   /// for it.
   void confirmByClaim();
   /// Sets the confirmed lease, or extends it.
   void confirm(const base::instance_id &Instance, groups::term_number NewTerm,
-               base::time_point NewProvedAt);
+               base::time_point NewProvedAt, base::time_point BegunAt);
+  /// Whether a promotion that may be in progress has to fence \p Instance.
+  [[nodiscard]] bool isKnownToPromotions(const base::instance_id &Instance,
+                                         base::time_point Now) const;
   [[nodiscard]] bool isLease(const base::instance_id &Instance,
                              groups::term_number OtherTerm) const;
   [[nodiscard]] std::optional<proof>
-  confirmedBy(const base::instance_id &Candidate,
-              const dated_status &Dated) const;
+  confirmedBy(const base::instance_id &Candidate, const dated_status &Dated,
+              base::time_point Now) const;
 
   base::duration LeaseDuration;
-  bool AreCommitsReplicated = false;
   std::set<base::instance_id> Members;
+  /// Members that a promotion in progress may not know.
+  joined_members Joined;
   std::optional<base::instance_id> Primary;
   groups::term_number Term = 0;
   groups::term_number HighestTerm = 0;
   base::time_point ProvedAt;
+  /// Since when the confirmed lease has run.
+  base::time_point LeaseBegunAt;
   bool HasProof = false;
+  base::time_point ReleasedAt;
   std::optional<unconfirmed_lease> Unconfirmed;
   std::optional<base::instance_id> Leader;
   groups::term_number LeaderTerm = 0;
@@ -201,10 +252,13 @@
   base::time_point ClaimReadAt;
   /// No term after AnnouncedTerm was led up to this time point.
   base::time_point VouchedUntil;
+  /// Up to this time point, no promotion had waited for the leases to expire.
+  base::time_point AtRestUntil;
   /// Whether all instances that may have been promoted since then are members.
   bool AreMembersKnown = false;
   std::map<base::instance_id, dated_status> Statuses;
   std::deque<dated_position> Positions;
+  std::optional<groups::log_position> Replicated;
 };
 
 } // namespace radishrelay::sessions
--- a/packages/sessions/include/radishrelay/sessions/promotion.h
+++ b/packages/sessions/include/radishrelay/sessions/promotion.h
@@ -110,8 +110,16 @@
   /// acknowledged with a replica that has left, restarted or is not listed;
   /// empty if no such position is known.
   std::optional<groups::log_position> NeededPosition;
-  /// Whether the list of members is known to contain every live instance.
+  /// Whether the list of members is known to contain every live instance that
+  /// has had time to report.
   bool IsListComplete = false;
+  /// Whether all hosts have said, since the replicas were fenced, which commits
+  /// they have acknowledged.
+  bool AreCommitsReported = false;
+  /// The highest position that they have named.
+  std::optional<groups::log_position> Acknowledged{};
+  /// Latest time at which the list is known to have been current.
+  base::time_point ListedAt{};
 
   friend bool operator==(const replica_knowledge &,
                          const replica_knowledge &) = default;
@@ -133,6 +141,12 @@
 /// be unknown, and one must have reached replica_knowledge::NeededPosition,
 /// since a replica that has left may have taken its copy of a commit along.
 ///
+/// A replica is listed up to JoinPeriod after its start, and may have confirmed
+/// commits before. Without the old primary, an order therefore needs either the
+/// reports of all hosts, none of which has acknowledged a commit beyond the
+/// verified logs, or a list that was current JoinPeriod after the leases had
+/// expired.
+///
 /// One host at a time may do this: it holds the claim, a row in the table store
 /// that is written under a condition on its version. The version of the claim
 /// is the generation number of the order.
@@ -187,6 +201,12 @@
                      base::time_point Now);
   void advance(base::time_point Now, promotion_actions &Actions);
 
+  /// When enough members were fenced; empty if they are not, or if the old
+  /// primary is among them.
+  [[nodiscard]] std::optional<base::time_point> fencedWithoutPrimaryAt() const;
+  /// When the list of members has to be read, for an order without the reports
+  /// of all hosts; empty if there is no such order to come.
+  [[nodiscard]] std::optional<base::time_point> listNeededAt() const;
   [[nodiscard]] promotion_stage stage() const { return Stage; }
   [[nodiscard]] bool isIdle() const { return Stage == promotion_stage::Idle; }
   /// Whether the platform has been asked to promote an instance.
@@ -249,6 +269,10 @@
              promotion_actions &Actions) const;
   /// Whether the verified instances hold every acknowledged commit.
   [[nodiscard]] bool holdsAllCommits() const;
+  /// Whether a verified instance has reached \p Position.
+  [[nodiscard]] bool hasReached(const groups::log_position &Position) const;
+  /// Whether no acknowledged commit can be on unlisted replicas alone.
+  [[nodiscard]] bool areUnlistedExcluded() const;
   void chooseCandidate();
   [[nodiscard]] const promotion_member *
   memberOf(const base::instance_id &Instance) const;
@@ -311,6 +335,8 @@
   groups::term_number AnnouncedTerm = 0;
   groups::term_number EarlierAnnouncedTerm = 0;
   std::map<base::instance_id, instance_status> Fenced;
+  /// When the claim of this attempt was known to be written.
+  base::time_point ClaimedAt;
   /// Time at which enough members were fenced.
   std::optional<base::time_point> FencedAt;
   /// Whether the old primary has reported that it is a replica.
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -279,9 +279,6 @@
   [[nodiscard]] bool mayCommit(const session &Session) const;
   /// Whether the connection runs a statement that may commit writes.
   [[nodiscard]] bool mayCommit(const connection &Connection) const;
-  /// Goes on waiting for a commit whose primary has been proved since. Returns
-  /// false if the commit has to be given up.
-  bool extendCommit(session &Session, base::time_point Now);
   void statementTimedOut(session &Session, base::time_point Now);
   void detach(session &Session);
   void beginOrSend(session &Session, connection &Connection,
@@ -353,6 +350,8 @@
   /// Version of the set of hosts for which the groups were last updated.
   std::uint64_t HostsVersion = 0;
   catalog_ptr Catalog;
+  /// When this host first knew a configuration.
+  std::optional<base::time_point> StartedAt;
   std::map<base::instance_id, instance_view> Instances;
   std::map<base::group_id, std::unique_ptr<supervisor>> Groups;
   std::map<session_number, session> Sessions;
--- a/packages/sessions/src/fleet_members.cpp
+++ b/packages/sessions/src/fleet_members.cpp
@@ -292,6 +292,15 @@
   send(Report, Address);
 }
 
+std::vector<fleet_members::peer> fleet_members::others() const {
+  std::vector<peer> Result;
+  for (const auto &[Name, Member] : Members)
+    if (Name != Options.Host.str())
+      Result.push_back(
+          {Name, base::failure_domain_id(Member.Domain), Member.Address});
+  return Result;
+}
+
 std::vector<std::string> fleet_members::someOthers(std::size_t Count) const {
   std::vector<std::string> Names;
   for (const auto &[Name, Member] : Members)
--- a/packages/sessions/src/group_leadership.cpp
+++ b/packages/sessions/src/group_leadership.cpp
@@ -12,14 +12,24 @@
 /// Time after which a position is discarded: the largest staleness that routes
 /// accept.
 constexpr base::duration PositionLifetime = std::chrono::seconds(10);
-/// Time after which a claim that announced a later term is read again, since
-/// its order may have been withdrawn.
+/// Time after which a claim that announced a later term, or showed an attempt,
+/// is read again, since that may have been withdrawn.
 constexpr base::duration RefusalPeriod = std::chrono::milliseconds(500);
+/// Time after which every promotion that does not know a listed instance has
+/// announced its order or has ended: the time for which a claim is respected.
+constexpr base::duration MemberTrialPeriod = std::chrono::milliseconds(4500);
 
 } // namespace
 
-void group_leadership::setMembers(std::set<base::instance_id> NewMembers) {
+void group_leadership::setMembers(std::set<base::instance_id> NewMembers,
+                                  base::time_point Now) {
+  for (const base::instance_id &Member : NewMembers)
+    if (!Members.contains(Member))
+      Joined[Member] = Now;
   Members = std::move(NewMembers);
+  std::erase_if(Joined, [this](const auto &Entry) {
+    return !Members.contains(Entry.first);
+  });
   std::erase_if(Statuses, [this](const auto &Entry) {
     return !Members.contains(Entry.first);
   });
@@ -33,10 +43,9 @@
                                     groups::log_position Position,
                                     base::time_point SentAt,
                                     base::time_point Now) {
-  recordTerm(Position.Term);
-  if (AreCommitsReplicated)
-    prove({Instance, Position.Term, SentAt, Now});
-  recordPosition(Instance, Position, SentAt);
+  recordStatus(Instance,
+               {groups::instance_role::Primary, Position.Term, Position, 0},
+               SentAt, Now);
 }
 
 bool group_leadership::isLease(const base::instance_id &Instance,
@@ -49,6 +58,8 @@
     return;
   Leader = Proof.Instance;
   LeaderTerm = Proof.Term;
+  if (Proof.SentAt <= ReleasedAt)
+    return;
   if (isLease(Proof.Instance, Proof.Term) && isProved(Proof.ArrivedAt)) {
     ProvedAt = std::max(ProvedAt, Proof.SentAt);
     return;
@@ -67,9 +78,12 @@
 
 void group_leadership::confirm(const base::instance_id &Instance,
                                groups::term_number NewTerm,
-                               base::time_point NewProvedAt) {
-  ProvedAt = isLease(Instance, NewTerm) ? std::max(ProvedAt, NewProvedAt)
-                                        : NewProvedAt;
+                               base::time_point NewProvedAt,
+                               base::time_point BegunAt) {
+  bool IsSameLease = isLease(Instance, NewTerm);
+  bool IsContinued = IsSameLease && isProved(BegunAt);
+  LeaseBegunAt = IsContinued ? std::min(LeaseBegunAt, BegunAt) : BegunAt;
+  ProvedAt = IsSameLease ? std::max(ProvedAt, NewProvedAt) : NewProvedAt;
   Primary = Leader = Instance;
   Term = LeaderTerm = NewTerm;
   HasProof = true;
@@ -95,6 +109,12 @@
   ClaimReadAt = ReadAt;
   VouchedUntil = Claim.IsAttemptInProgress ? ReadAt : ReadAt + LeaseDuration;
   AreMembersKnown = true;
+  if (!Claim.IsAttemptInProgress) {
+    AtRestUntil = ReadAt > ReleasedAt ? VouchedUntil : AtRestUntil;
+    std::erase_if(Joined,
+                  [&](const auto &Entry) { return Entry.second <= ReadAt; });
+    proveFromStatuses(Now);
+  }
   if (Unconfirmed && AnnouncedTerm > Unconfirmed->Term) {
     RefusedTerm = Unconfirmed->Term;
     RefusedUntil = Now + RefusalPeriod;
@@ -108,10 +128,39 @@
                       Unconfirmed->Term >= std::max(AnnouncedTerm, HighestTerm);
   if (!IsVouchedFor)
     return;
-  confirm(Unconfirmed->Primary, Unconfirmed->Term, Unconfirmed->ProvedAt);
+  confirm(Unconfirmed->Primary, Unconfirmed->Term, Unconfirmed->ProvedAt,
+          Unconfirmed->BegunAt);
   Unconfirmed.reset();
 }
 
+bool group_leadership::isKept(const base::instance_id &Instance,
+                              groups::log_position Position,
+                              base::time_point AcknowledgedAt) const {
+  bool IsReplicated = Replicated && Replicated->Term == Position.Term &&
+                      *Replicated >= Position;
+  bool IsUnderLease = isLease(Instance, Position.Term) &&
+                      AcknowledgedAt >= LeaseBegunAt &&
+                      isProved(AcknowledgedAt);
+  return IsReplicated || IsUnderLease || AcknowledgedAt <= AtRestUntil;
+}
+
+void group_leadership::release(base::time_point Now) {
+  ReleasedAt = Now;
+  AtRestUntil = {};
+  HasProof = false;
+  Unconfirmed.reset();
+}
+
+void group_leadership::recordLeader(const base::instance_id &Instance,
+                                    groups::term_number NewTerm) {
+  recordTerm(NewTerm);
+  bool IsNews = !Leader || LeaderTerm < NewTerm;
+  if (!IsNews)
+    return;
+  Leader = Instance;
+  LeaderTerm = NewTerm;
+}
+
 std::optional<bool>
 group_leadership::ledAt(base::time_point AcknowledgedAt,
                         const base::instance_id &Instance,
@@ -146,7 +195,7 @@
   }
   if (Now > Since + LeaseDuration)
     return;
-  confirm(Unconfirmed->Primary, Unconfirmed->Term, Since);
+  confirm(Unconfirmed->Primary, Unconfirmed->Term, Since, Since);
   Unconfirmed.reset();
 }
 
@@ -154,9 +203,10 @@
                                    groups::term_number NewTerm,
                                    base::time_point NewProvedAt) {
   recordTerm(NewTerm);
-  if (!Members.contains(Instance) || NewTerm < HighestTerm)
+  if (!Members.contains(Instance) || NewTerm < HighestTerm ||
+      NewProvedAt <= ReleasedAt)
     return;
-  confirm(Instance, NewTerm, NewProvedAt);
+  confirm(Instance, NewTerm, NewProvedAt, NewProvedAt);
   bool IsContinued = Unconfirmed &&
                      isLease(Unconfirmed->Primary, Unconfirmed->Term) &&
                      isProved(Unconfirmed->BegunAt);
@@ -212,18 +262,32 @@
   if (Known != Statuses.end() && SentAt < Known->second.SentAt)
     return;
   Statuses[Instance] = {Status, SentAt, Now};
-  proveFromStatuses();
+  proveFromStatuses(Now);
+  recordReplicas(Now);
   if (Status.Role == groups::instance_role::Primary)
     recordPosition(Instance, Status.Received, SentAt);
   else if (Primary == Instance && Status.Term >= Term)
     recordNotPrimary(Instance);
 }
 
+void group_leadership::recordReplicas(base::time_point Now) {
+  if (!Leader || LeaderTerm < HighestTerm)
+    return;
+  // The log of a leader, also of one that was demoted, may end with commits
+  // that no replica has received.
+  for (const auto &[Instance, Dated] : Statuses)
+    if (Instance != Leader && Dated.Status.Term == LeaderTerm &&
+        Dated.Status.Role == groups::instance_role::Replica &&
+        isKnownToPromotions(Instance, Now))
+      recordReplicated(Dated.Status.Received);
+}
+
 std::optional<group_leadership::proof>
 group_leadership::confirmedBy(const base::instance_id &Candidate,
-                              const dated_status &Dated) const {
-  if (Members.size() == 1)
-    return proof{Candidate, Dated.Status.Term, Dated.SentAt, Dated.ArrivedAt};
+                              const dated_status &Dated,
+                              base::time_point Now) const {
+  proof All{Candidate, Dated.Status.Term, Dated.SentAt, Dated.ArrivedAt};
+  std::size_t Confirming = 0;
   std::optional<proof> Latest;
   for (const auto &[Other, OtherDated] : Statuses) {
     const instance_status &Status = OtherDated.Status;
@@ -232,21 +296,46 @@
                     Status.Term <= Dated.Status.Term;
     if (!Confirms)
       continue;
+    ++Confirming;
+    All.SentAt = std::min(All.SentAt, OtherDated.SentAt);
+    All.ArrivedAt = std::max(All.ArrivedAt, OtherDated.ArrivedAt);
     proof Both{Candidate, Dated.Status.Term,
                std::min(Dated.SentAt, OtherDated.SentAt),
                std::max(Dated.ArrivedAt, OtherDated.ArrivedAt)};
-    if (!Latest || Both.SentAt > Latest->SentAt)
+    if (isKnownToPromotions(Other, Now) &&
+        (!Latest || Both.SentAt > Latest->SentAt))
       Latest = Both;
   }
-  return Latest;
+  // A promotion that does not know some of the members has fenced all others.
+  bool HaveAllConfirmed = Confirming + 1 >= Members.size();
+  return !Latest && HaveAllConfirmed ? std::optional(All) : Latest;
+}
+
+std::optional<base::time_point>
+group_leadership::trialClaimNeededAt(base::time_point Now) const {
+  std::optional<base::time_point> LastJoinedAt;
+  for (const auto &[Instance, JoinedAt] : Joined)
+    if (!isKnownToPromotions(Instance, Now))
+      LastJoinedAt = std::max(LastJoinedAt.value_or(JoinedAt), JoinedAt);
+  if (!LastJoinedAt || ClaimReadAt < *LastJoinedAt)
+    return LastJoinedAt;
+  // The last read has shown an attempt, which may have ended since.
+  bool IsDue = Now >= ClaimReadAt + RefusalPeriod;
+  return IsDue ? std::optional(ClaimReadAt + RefusalPeriod) : std::nullopt;
+}
+
+bool group_leadership::isKnownToPromotions(const base::instance_id &Instance,
+                                           base::time_point Now) const {
+  auto Entry = Joined.find(Instance);
+  return Entry == Joined.end() || Now >= Entry->second + MemberTrialPeriod;
 }
 
-void group_leadership::proveFromStatuses() {
+void group_leadership::proveFromStatuses(base::time_point Now) {
   for (const auto &[Instance, Dated] : Statuses) {
     if (Dated.Status.Role != groups::instance_role::Primary ||
         Dated.Status.FencedTerm > Dated.Status.Term)
       continue;
-    if (std::optional<proof> Proof = confirmedBy(Instance, Dated))
+    if (std::optional<proof> Proof = confirmedBy(Instance, Dated, Now))
       prove(*Proof);
   }
 }
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -23,11 +23,11 @@
                                    backend_pool &Pool, store_calls &Store,
                                    const store_history &History,
                                    fleet_members &Fleet, claim_watch &Claims,
-                                   event_log &Log)
+                                   event_log &Log, base::time_point StartedAt)
     : Group(std::move(Group)), Options(Options), Pool(Pool), Store(Store),
       History(History), Fleet(Fleet), Claims(Claims), Log(Log),
       Leadership(Options.LeaseDuration), Promotion(this->Group, Options),
-      Votes(Options.VoteLifetime) {}
+      Votes(Options.VoteLifetime), Survey(Fleet), StartedAt(StartedAt) {}
 
 void group_supervisor::setListings(
     const std::map<base::instance_id, instance_listing> &List,
@@ -56,7 +56,7 @@
     Member.Listing = Listing;
     Member.IsListed = true;
   }
-  updateMembers();
+  updateMembers(Now);
   updatePromotionMembers(Now);
 }
 
@@ -111,16 +111,15 @@
   return HasAnnounced && IsDomainListed && Leadership.leader() != Instance;
 }
 
-void group_supervisor::updateMembers() {
+void group_supervisor::updateMembers(base::time_point Now) {
   std::set<base::instance_id> Names;
   for (const auto &[Instance, Member] : Members)
     Names.insert(Instance);
-  Leadership.setMembers(std::move(Names));
+  Leadership.setMembers(std::move(Names), Now);
 }
 
 void group_supervisor::setSettings(const group_settings &NewSettings) {
   Settings = NewSettings;
-  Leadership.setCommitsReplicated(Settings.SyncReplicas > 0);
 }
 
 std::optional<base::instance_id>
@@ -133,25 +132,17 @@
 std::optional<base::instance_id> group_supervisor::primaryForWrites() const {
   if (isPrimaryUnresponsive() || Settings.SyncReplicas == 0 ||
       !Promotion.isIdle() || !Leadership.primary() ||
-      mayUnlistedConfirm(*Leadership.primary()))
+      isInOwnDomain(*Leadership.primary()))
     return std::nullopt;
   return Leadership.primary();
 }
 
-bool group_supervisor::mayUnlistedConfirm(
-    const base::instance_id &Primary) const {
-  auto Member = Members.find(Primary);
+bool group_supervisor::isInOwnDomain(const base::instance_id &Instance) const {
+  auto Member = Members.find(Instance);
   return Member != Members.end() &&
          Member->second.Listing.Domain == Options.Domain;
 }
 
-base::time_point
-group_supervisor::commitAwaitedUntil(const base::instance_id &Instance) const {
-  if (Settings.SyncReplicas == 0 || !mayUnlistedConfirm(Instance))
-    return base::time_point::max();
-  return Leadership.provedUntil(Instance);
-}
-
 bool group_supervisor::isPromotionOrdered() const {
   return Promotion.isOrdered();
 }
@@ -291,18 +282,13 @@
                                     groups::log_position Position,
                                     base::time_point SentAt,
                                     base::time_point Now) {
-  // Such a commit does not show that a replica which other hosts could fence
-  // has received it.
-  if (mayUnlistedConfirm(Instance))
-    Leadership.recordPosition(Instance, Position, SentAt);
-  else
-    Leadership.recordCommit(Instance, Position, SentAt, Now);
+  Leadership.recordCommit(Instance, Position, SentAt, Now);
   if (Leadership.leader() == Instance) {
     WriteTimeouts = 0;
     bool IsProvedSinceFailure = SentAt > FirstFailureAt &&
-                                !mayUnlistedConfirm(Instance) &&
-                                Leadership.isProved(Now);
-    if (IsProvedSinceFailure && Settings.SyncReplicas > 0)
+                                Leadership.isProved(Now) &&
+                                Leadership.provedAt() >= FirstFailureAt;
+    if (IsProvedSinceFailure)
       recordPrimaryProved(Now);
   }
 }
@@ -365,7 +351,7 @@
     return IsOld;
   });
   if (AreMembersRemoved) {
-    updateMembers();
+    updateMembers(Now);
     Leadership.recordMemberRemoved(Now);
   }
   if (IsProbing && Now >= ProbeStartedAt + Options.StatusTimeout)
@@ -373,6 +359,7 @@
   seekProof(Now);
   requestClaimIfNeeded(Now);
   considerPromotion(Now);
+  advanceSurvey(Now);
   promotion_actions Actions;
   Promotion.setReplicaKnowledge(replicaKnowledge(Now));
   Promotion.advance(Now, Actions);
@@ -380,7 +367,7 @@
 }
 
 base::time_point group_supervisor::nextWake(base::time_point Now) const {
-  base::time_point Wake = Promotion.nextWake();
+  base::time_point Wake = std::min(Promotion.nextWake(), Survey.nextWake());
   if (IsProbing)
     Wake = std::min(Wake, ProbeStartedAt + Options.StatusTimeout);
   else if (isProbeNeeded(Now))
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -16,6 +16,10 @@
 /// Time within which the successor of a leaving instance is listed, 1 s, and
 /// for which the entry of an instance stays listed that is cut off, 3.6 s.
 constexpr base::duration SuccessorPeriod = std::chrono::milliseconds(4600);
+/// Time before the announcement of a leaving instance within which its
+/// successor may have been listed: the platform may start the new instance
+/// first.
+constexpr base::duration SuccessorLeadTime = std::chrono::milliseconds(2500);
 
 std::int64_t milliseconds(base::duration Time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
@@ -63,9 +67,50 @@
   if (Leadership.primary() && Leadership.term() == Leadership.highestTerm())
     Knowledge.NeededPosition = Leadership.positionSince(ReplicasChangedAt);
   Knowledge.IsListComplete = IsListComplete && !isSuccessorAwaited(Now);
+  Knowledge.ListedAt = ListConfirmedAt;
+  auto Primary =
+      Leadership.leader() ? Members.find(*Leadership.leader()) : Members.end();
+  std::optional<base::failure_domain_id> Unreachable;
+  if (Primary != Members.end() && !isInOwnDomain(Primary->first))
+    Unreachable = Primary->second.Listing.Domain;
+  Knowledge.AreCommitsReported = Survey.isComplete(Unreachable);
+  Knowledge.Acknowledged = Survey.highest();
+  if (Told && Settings.SyncReplicas > 0)
+    Knowledge.Acknowledged =
+        std::max(Knowledge.Acknowledged.value_or(*Told), *Told);
   return Knowledge;
 }
 
+void group_supervisor::advanceSurvey(base::time_point Now) {
+  std::optional<base::time_point> FencedAt = Promotion.fencedWithoutPrimaryAt();
+  if (!FencedAt) {
+    Survey.end();
+    return;
+  }
+  if (!Survey.isRunning() || Survey.fencedAt() != *FencedAt) {
+    // This host acknowledges no more commits under its lease either.
+    Leadership.release(Now);
+    Survey.begin({Group, Leadership.highestTerm(),
+                  static_cast<std::uint64_t>(base::toMicroseconds(*FencedAt))},
+                 *FencedAt);
+  }
+  Survey.advance(Now);
+  std::optional<base::time_point> NeededAt = Promotion.listNeededAt();
+  if (NeededAt && Now >= *NeededAt && ListConfirmedAt < *NeededAt)
+    IsListRequested = true;
+}
+
+void group_supervisor::receive(const commit_inquiry &Inquiry,
+                               const std::string &ReplyTo,
+                               base::time_point Now) {
+  if (Leadership.term() <= Inquiry.Term)
+    Leadership.release(Now);
+  commit_report Report{Group, Inquiry.Round, Options.Host, Now - StartedAt};
+  if (Settings.SyncReplicas > 0)
+    Report.Acknowledged = Told;
+  Fleet.send(Report, ReplyTo);
+}
+
 bool group_supervisor::isSuccessorAwaited(base::time_point Now) const {
   return std::ranges::any_of(Members, [&](const auto &Entry) {
     const member_state &Leaving = Entry.second;
@@ -74,7 +119,8 @@
           const member_state &Other = OtherEntry.second;
           return !Other.Listing.Draining &&
                  Other.Listing.Domain == Leaving.Listing.Domain &&
-                 Other.FirstListedAt >= Leaving.LeavingSince;
+                 Other.FirstListedAt + SuccessorLeadTime >=
+                     Leaving.LeavingSince;
         });
     base::time_point SeenUntil = Leaving.IsListed ? Now : Leaving.UnlistedAt;
     return Leaving.Listing.Draining && !HasSuccessor &&
--- a/packages/sessions/src/peer_message.cpp
+++ b/packages/sessions/src/peer_message.cpp
@@ -20,6 +20,16 @@
 constexpr int ReportRequestKind = 7;
 constexpr int ClaimRequestKind = 8;
 constexpr int ClaimReplyKind = 9;
+constexpr int CommitInquiryKind = 10;
+constexpr int CommitReportKind = 11;
+
+void packPosition(json &Packed,
+                  const std::optional<groups::log_position> &Position) {
+  if (!Position)
+    return;
+  Packed.push_back(Position->Term);
+  Packed.push_back(Position->Offset);
+}
 
 struct packer {
   const std::string &ReplyTo;
@@ -47,11 +57,21 @@
         json::array({ProofReplyKind, ReplyTo, Reply.Group.str(),
                      base::toMicroseconds(Reply.AskedAt), Reply.Primary.str(),
                      Reply.Term, Reply.Age.count()});
-    if (Reply.Position) {
-      Result.push_back(Reply.Position->Term);
-      Result.push_back(Reply.Position->Offset);
+    packPosition(Result, Reply.Position);
+    if (Reply.Position)
       Result.push_back(Reply.PositionAge.count());
-    }
+    packPosition(Result, Reply.Replicated);
+    return Result;
+  }
+  json operator()(const commit_inquiry &Inquiry) const {
+    return json::array({CommitInquiryKind, ReplyTo, Inquiry.Group.str(),
+                        Inquiry.Term, Inquiry.Round});
+  }
+  json operator()(const commit_report &Report) const {
+    json Result = json::array({CommitReportKind, ReplyTo, Report.Group.str(),
+                               Report.Round, Report.Host.str(),
+                               Report.RunningFor.count()});
+    packPosition(Result, Report.Acknowledged);
     return Result;
   }
   json operator()(const promotion_vote &Vote) const {
@@ -120,19 +140,46 @@
   return base::fromMicroseconds(Packed.at(Index).get<std::int64_t>());
 }
 
+/// Returns the position that begins at \p Index; empty if nothing follows.
+std::optional<groups::log_position> unpackPosition(const json &Packed,
+                                                   std::size_t Index) {
+  if (Packed.size() <= Index)
+    return std::nullopt;
+  return groups::log_position{Packed.at(Index).get<groups::term_number>(),
+                              Packed.at(Index + 1).get<groups::log_offset>()};
+}
+
+commit_inquiry unpackInquiry(const json &Packed) {
+  return {base::group_id(Packed.at(2).get<std::string>()),
+          Packed.at(3).get<groups::term_number>(),
+          Packed.at(4).get<std::uint64_t>()};
+}
+
+commit_report unpackCommits(const json &Packed) {
+  constexpr std::size_t PositionIndex = 6;
+  return {base::group_id(Packed.at(2).get<std::string>()),
+          Packed.at(3).get<std::uint64_t>(),
+          base::host_id(Packed.at(4).get<std::string>()),
+          unpackAge(Packed.at(5)), unpackPosition(Packed, PositionIndex)};
+}
+
 proof_reply unpackReply(const json &Packed) {
-  constexpr std::size_t SizeWithPosition = 10;
+  constexpr std::size_t PositionIndex = 7;
+  constexpr std::size_t AgeIndex = 9;
+  constexpr std::size_t ReplicatedIndex = 10;
   proof_reply Reply;
   Reply.Group = base::group_id(Packed.at(2).get<std::string>());
   Reply.AskedAt = base::fromMicroseconds(Packed.at(3).get<std::int64_t>());
   Reply.Primary = base::instance_id(Packed.at(4).get<std::string>());
   Reply.Term = Packed.at(5).get<groups::term_number>();
   Reply.Age = unpackAge(Packed.at(6));
-  if (Packed.size() == SizeWithPosition) {
-    Reply.Position = {Packed.at(7).get<groups::term_number>(),
-                      Packed.at(8).get<groups::log_offset>()};
-    Reply.PositionAge = unpackAge(Packed.at(9));
+  bool HasPosition = Packed.size() > AgeIndex;
+  if (HasPosition) {
+    Reply.Position = unpackPosition(Packed, PositionIndex);
+    Reply.PositionAge = unpackAge(Packed.at(AgeIndex));
   }
+  Reply.Replicated =
+      unpackPosition(Packed, HasPosition ? ReplicatedIndex : PositionIndex);
   return Reply;
 }
 
@@ -228,6 +275,10 @@
                        unpackAge(Packed.at(3))}};
     case ClaimReplyKind:
       return peer_datagram{ReplyTo, unpackClaims(Packed)};
+    case CommitInquiryKind:
+      return peer_datagram{ReplyTo, unpackInquiry(Packed)};
+    case CommitReportKind:
+      return peer_datagram{ReplyTo, unpackCommits(Packed)};
     default:
       return std::nullopt;
     }
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using detail::CallInterval;
+using detail::JoinPeriod;
 using detail::RetryDelay;
 
 /// Time after the deadline of a claim during which its host removes fences.
@@ -41,6 +42,8 @@
     return;
   Request = std::move(NewRequest);
   Fenced.clear();
+  Verified.clear();
+  FencedAt.reset();
   Candidate = {};
   BetterAwaitedUntil.reset();
   OrderDeadline = {};
@@ -212,6 +215,7 @@
     // The instance restarted and lost its fence, so it may have confirmed
     // proofs of the old primary since; fencing starts again.
     Fenced.erase(Instance);
+    Verified.erase(Instance);
     beginFencing(Now, Actions);
     return;
   }
@@ -256,10 +260,26 @@
   fence(Member.Instance, Actions);
   if (Fenced.size() >= neededFences())
     return;
-  FencedAt.reset();
+  // Leases may rest on an instance that was listed before the claim was
+  // written. They rest on no later one, see group_leadership.
+  if (Knowledge.ListedAt < ClaimedAt)
+    FencedAt.reset();
   enter(promotion_stage::Fencing, Now + CallInterval);
 }
 
+std::optional<base::time_point> promotion::fencedWithoutPrimaryAt() const {
+  bool IsDeciding =
+      Stage > promotion_stage::Fencing && Stage < promotion_stage::Announcing;
+  return IsDeciding && !Fenced.contains(Request.OldPrimary) ? FencedAt
+                                                            : std::nullopt;
+}
+
+std::optional<base::time_point> promotion::listNeededAt() const {
+  if (!fencedWithoutPrimaryAt() || areUnlistedExcluded())
+    return std::nullopt;
+  return leasesExpireAt() + JoinPeriod;
+}
+
 void promotion::advance(base::time_point Now, promotion_actions &Actions) {
   if (isIdle() || Now < DueAt)
     return;
--- a/packages/sessions/src/promotion_claim.cpp
+++ b/packages/sessions/src/promotion_claim.cpp
@@ -118,8 +118,10 @@
                      base::textField(Row->Value, "operation") == Operation;
   if (IsOwnRepeat) {
     ClaimVersion = Version;
-    if (!Generation)
+    if (!Generation) {
       Generation = Version;
+      ClaimedAt = Now;
+    }
     resumeVerifying(Now, Actions);
     return;
   }
@@ -192,6 +194,7 @@
   } else if (Answer.Outcome == base::store_outcome::Done) {
     Generation = Answer.Version;
     ClaimVersion = Answer.Version;
+    ClaimedAt = Now;
     beginFencing(Now, Actions);
   } else if (Answer.Outcome == base::store_outcome::NotDone) {
     abandon("the store rejected the claim", Now, Actions);
--- a/packages/sessions/src/promotion_order.cpp
+++ b/packages/sessions/src/promotion_order.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using detail::CallInterval;
+using detail::JoinPeriod;
 using detail::RetryDelay;
 using detail::StoreTimeout;
 
@@ -64,15 +65,26 @@
 bool promotion::holdsAllCommits() const {
   if (Verified.contains(Request.OldPrimary))
     return true;
-  if (!Knowledge.IsListComplete)
+  if (!Knowledge.IsListComplete || !areUnlistedExcluded())
     return false;
   // A primary that is no longer a member is lost with all that only it holds.
   if (!isMember(Request.OldPrimary))
     return true;
-  return Knowledge.NeededPosition &&
-         std::ranges::any_of(Verified, [this](const auto &Instance) {
-           return Fenced.at(Instance).Received >= *Knowledge.NeededPosition;
-         });
+  return Knowledge.NeededPosition && hasReached(*Knowledge.NeededPosition);
+}
+
+bool promotion::hasReached(const groups::log_position &Position) const {
+  return std::ranges::any_of(Verified, [&](const auto &Instance) {
+    return Fenced.at(Instance).Received >= Position;
+  });
+}
+
+bool promotion::areUnlistedExcluded() const {
+  bool IsListed = Knowledge.ListedAt >= leasesExpireAt() + JoinPeriod;
+  bool AreHeld =
+      Knowledge.AreCommitsReported &&
+      (!Knowledge.Acknowledged || hasReached(*Knowledge.Acknowledged));
+  return IsListed || AreHeld;
 }
 
 const promotion_member *
@@ -88,7 +100,8 @@
         return Member.Instance == Request.OldPrimary ||
                Verified.contains(Member.Instance);
       });
-  return AreVerified && Knowledge.IsListComplete && Knowledge.NeededPosition &&
+  return AreVerified && Knowledge.IsListComplete && areUnlistedExcluded() &&
+         Knowledge.NeededPosition &&
          std::ranges::any_of(Verified, [this](const auto &Instance) {
            return Instance != Request.OldPrimary &&
                   Fenced.at(Instance).Received >= *Knowledge.NeededPosition;
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -126,6 +126,8 @@
 
 void session_engine::watchStore(base::time_point Now) {
   Watch.setWatcher(Members.isWatcher());
+  Watch.setPromoting(std::ranges::any_of(
+      Groups, [](const auto &Entry) { return Entry.second->isPromoting(); }));
   if (auto Wait = Watch.startCall(detail::watched_source::Catalog, Now))
     Coordination.readCatalog(*Wait);
   if (auto Wait = Watch.startCall(detail::watched_source::Instances, Now))
@@ -203,6 +205,8 @@
 void session_engine::updateGroups(base::time_point Now) {
   if (!Catalog)
     return;
+  if (!StartedAt)
+    StartedAt = Now;
   std::map<base::instance_id, instance_listing> List;
   for (const auto &[Instance, View] : Instances)
     List.emplace(Instance, View.Listing);
@@ -212,7 +216,7 @@
     auto [Entry, IsNew] = Groups.try_emplace(Id);
     if (IsNew) {
       Entry->second = std::make_unique<supervisor>(
-          Id, Options, Pool, Store, History, Members, Claims, Log);
+          Id, Options, Pool, Store, History, Members, Claims, Log, *StartedAt);
       Entry->second->setListings(List, Now);
       Entry->second->setEvacuated(Evacuations.evacuated(), Evacuations.closed(),
                                   Now);
@@ -344,6 +348,14 @@
     if (!Catalog)
       Starting.replied(Datagram->ReplyTo,
                        detail::catalogVersion(*Report).value_or(0));
+  } else if (const auto *Inquiry =
+                 std::get_if<detail::commit_inquiry>(&Datagram->Message)) {
+    if (supervisor *Group = groupOf(Inquiry->Group))
+      Group->receive(*Inquiry, Datagram->ReplyTo, Now);
+  } else if (const auto *Commits =
+                 std::get_if<detail::commit_report>(&Datagram->Message)) {
+    if (supervisor *Group = groupOf(Commits->Group))
+      Group->receive(*Commits, Now);
   } else if (const auto *ClaimRequest =
                  std::get_if<detail::claim_request>(&Datagram->Message)) {
     Claims.receive(*ClaimRequest, Datagram->ReplyTo, Now);
--- a/packages/sessions/src/session_failures.cpp
+++ b/packages/sessions/src/session_failures.cpp
@@ -9,9 +9,6 @@
 constexpr std::uint32_t MaxAttempts = 5;
 /// Time after a lost connection during which reads prefer other instances.
 constexpr base::duration LostConnectionPause = std::chrono::milliseconds(1000);
-/// Time between checks of the proof that a running commit depends on: a small
-/// part of the lease duration.
-constexpr base::duration ProofCheckInterval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -108,8 +105,7 @@
     completeCommit(Session, Now);
     return;
   default:
-    if (!extendCommit(Session, Now))
-      statementTimedOut(Session, Now);
+    statementTimedOut(Session, Now);
   }
 }
 
@@ -120,27 +116,6 @@
           (Operation.IsWrite && Session.Phase != session_phase::InTransaction));
 }
 
-bool session_engine::extendCommit(session &Session, base::time_point Now) {
-  connection *Connection = connectionOf(Session);
-  supervisor *Group = Connection ? groupOf(Connection->Group) : nullptr;
-  bool IsReadOnly = Session.Current->Statement.Kind == statement_kind::Commit &&
-                    !Session.Transaction.HasWritten;
-  if (!Group || !mayCommit(Session) || IsReadOnly)
-    return false;
-  base::time_point ProvedUntil =
-      Group->commitAwaitedUntil(Connection->Instance);
-  base::time_point Limit =
-      Session.Current->ReceivedAt + Session.Route.StatementTimeout;
-  bool IsJustSent = Session.Current->SentAt == Now;
-  if (ProvedUntil == base::time_point::max() ||
-      Now >= (IsJustSent ? Limit : std::min(Limit, ProvedUntil)))
-    return false;
-  Group->requestProof(Now);
-  base::time_point Next = std::min(Limit, Now + ProofCheckInterval);
-  setWake(Session, Now < ProvedUntil ? std::min(Next, ProvedUntil) : Next);
-  return true;
-}
-
 void session_engine::statementTimedOut(session &Session, base::time_point Now) {
   operation &Operation = *Session.Current;
   connection *Connection = connectionOf(Session);
@@ -162,9 +137,7 @@
   Session.Transaction.HasBegun = false;
   if (MayHaveCommitted) {
     answerError(Session, refusal::InDoubt,
-                IsTimeOver ? "the instance did not answer the commit in time"
-                           : "no listed replica was seen while the commit ran",
-                Now);
+                "the instance did not answer the commit in time", Now);
     return;
   }
   Operation.ExcludedInstances.insert(Instance);
--- a/packages/sessions/src/session_replies.cpp
+++ b/packages/sessions/src/session_replies.cpp
@@ -341,15 +341,6 @@
   bool HasCommitted =
       IsCommit ? Transaction.HasWritten : Operation.IsWrite && !IsInTransaction;
   supervisor *CommitGroup = HasCommitted ? groupOf(Connection.Group) : nullptr;
-  if (CommitGroup &&
-      Now >= CommitGroup->commitAwaitedUntil(Connection.Instance)) {
-    returnToPool(Connection, Reply.Phase, Now);
-    Transaction.Connection.reset();
-    Transaction.HasBegun = false;
-    answerError(Session, refusal::InDoubt,
-                "no listed replica was seen while the commit ran", Now);
-    return;
-  }
   if (CommitGroup && CommitGroup->isCommitProved(Connection.Instance,
                                                  Reply.Position, Now) != true) {
     awaitProof(Session, Connection, Reply, Now);
@@ -409,7 +400,10 @@
     commitSucceeded(Session, backend_reply(Operation.Commit->Reply), Now);
   } else if (IsProved == false || Now >= Limit) {
     answerError(Session, refusal::InDoubt,
-                "the instance is not proved to have been the primary", Now);
+                IsProved == false
+                    ? "the instance is not proved to have been the primary"
+                    : "no listed replica is known to hold the commit",
+                Now);
   } else {
     Group->requestCommitProof(Operation.Commit->AcknowledgedAt, Now);
     setWake(Session, std::min(Limit, Now + CommitProofInterval));
@@ -422,6 +416,8 @@
   if (Reply.Position) {
     Session.LastCommit = Reply.Position;
     Session.CommitGroup = Session.Route.Group;
+    if (supervisor *Group = groupOf(Session.Route.Group))
+      Group->recordCommitTold(*Reply.Position);
   }
   client_answer Answer;
   Answer.Rows = Reply.Rows;
--- a/packages/sessions/src/session_routing.cpp
+++ b/packages/sessions/src/session_routing.cpp
@@ -219,7 +219,8 @@
   std::optional<base::instance_id> Primary = Group->usablePrimary(Now);
   // A write outside a transaction needs no proved primary, since its commit is
   // answered only once the primary is proved. Hosts in the failure domain of
-  // the primary wait for a proof first; see commitAwaitedUntil.
+  // the primary wait for a proof first: if the domain is cut off, no commit is
+  // proved before that ends.
   bool IsSingleWrite =
       Operation.IsWrite && Session.Phase == session_phase::Idle;
   if (!Primary && IsSingleWrite)
@@ -453,7 +454,6 @@
                                             ReadAttemptShareNumerator /
                                             ReadAttemptShareDenominator);
   setWake(Session, Deadline);
-  extendCommit(Session, Now);
   Pool.send(Connection, Request, Now);
 }
 
--- a/packages/sessions/src/store_watch.cpp
+++ b/packages/sessions/src/store_watch.cpp
@@ -12,6 +12,9 @@
 /// ConfirmationLifetime, so that reads of an unchanged source confirm it in
 /// time.
 constexpr base::duration WatchWait = std::chrono::milliseconds(1700);
+/// The same while this host promotes an instance, see
+/// promotion::listNeededAt(): an attempt ends 3.5 s after its claim.
+constexpr base::duration PromotionWait = std::chrono::milliseconds(300);
 /// Minimum and maximum delay after a failed read; the delay doubles with each
 /// failure. Calls that the store rejects are charged too.
 constexpr base::duration MinRetryDelay = std::chrono::milliseconds(200);
@@ -47,8 +50,9 @@
   State.IsReadRequested = false;
   bool IsFirst = !State.ConfirmedAt;
   bool IsFailing = State.RetryDelay > base::duration::zero();
-  return IsWatcher && !IsFirst && !IsFailing ? WatchWait
-                                             : base::duration::zero();
+  if (!IsWatcher || IsFirst || IsFailing)
+    return base::duration::zero();
+  return IsPromoting ? PromotionWait : WatchWait;
 }
 
 void store_watch::confirmed(watched_source Source, const source_state &State,
--- a/packages/sessions/tests/peer_message_test.cpp
+++ b/packages/sessions/tests/peer_message_test.cpp
@@ -68,6 +68,42 @@
       (std::get<watch_report>(decodeDatagram(Bytes)->Message) == Report));
 }
 
+// Guards against a position that is taken for another one: a proof carries
+// none, either or both of two.
+BOOST_AUTO_TEST_CASE(carries_the_positions_of_a_proof_that_are_known) {
+  for (bool HasPosition : {false, true})
+    for (bool IsReplicated : {false, true}) {
+      proof_reply Reply;
+      Reply.Group = base::group_id("g");
+      Reply.Primary = base::instance_id("p");
+      if (HasPosition) {
+        Reply.Position = {2, 11};
+        Reply.PositionAge = base::duration(7);
+      }
+      if (IsReplicated)
+        Reply.Replicated = {2, 9};
+      std::string Bytes = encodeDatagram({"10.0.0.1:1", Reply});
+      BOOST_TEST(
+          (std::get<proof_reply>(decodeDatagram(Bytes)->Message) == Reply));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(carries_an_inquiry_about_commits_and_its_report) {
+  commit_inquiry Inquiry{base::group_id("g"), 3, 1'234'567'890};
+  commit_report Report{base::group_id("g"), 1'234'567'890, base::host_id("h"),
+                       base::duration(42)};
+  std::string Bytes = encodeDatagram({"10.0.0.1:1", Inquiry});
+  BOOST_TEST(
+      (std::get<commit_inquiry>(decodeDatagram(Bytes)->Message) == Inquiry));
+  Bytes = encodeDatagram({"10.0.0.1:1", Report});
+  BOOST_TEST(
+      (std::get<commit_report>(decodeDatagram(Bytes)->Message) == Report));
+  Report.Acknowledged = {3, 17};
+  Bytes = encodeDatagram({"10.0.0.1:1", Report});
+  BOOST_TEST(
+      (std::get<commit_report>(decodeDatagram(Bytes)->Message) == Report));
+}
+
 BOOST_AUTO_TEST_CASE(names_the_request_of_a_loan) {
   token_grant Grant{{base::account_id("a"), 3}, base::fromMicroseconds(12345)};
   std::string Bytes = encodeDatagram({"10.0.0.1:1", Grant});
--- a/packages/sessions/tests/promotion_test.cpp
+++ b/packages/sessions/tests/promotion_test.cpp
@@ -312,6 +312,95 @@
   BOOST_TEST(sent<promotion_order>().empty());
 }
 
+// Guards against lost commits that only a replica has which is not listed yet:
+// hosts have told their clients of them (review/12).
+BOOST_AUTO_TEST_SUITE(may_lack_what_an_unlisted_replica_has)
+
+struct survey_fixture : fixture {
+  survey_fixture() {
+    Knowledge.AreCommitsReported = false;
+    Knowledge.ListedAt = Now;
+  }
+
+  /// Verifies the fences of both replicas until an order or \p Time is over.
+  void verifyFor(base::duration Time) {
+    for (base::time_point End = Now + Time;
+         Now < End && sent<promotion_order>().empty();) {
+      advanceBy(10ms);
+      fenced(R1, 5);
+      fenced(R2, 9);
+    }
+  }
+
+  void setKnowledge() { Promotion.setReplicaKnowledge(Knowledge); }
+};
+
+BOOST_FIXTURE_TEST_CASE(and_waits_for_the_reports_of_all_hosts,
+                        survey_fixture) {
+  claim();
+  verifyFor(1500ms);
+  BOOST_TEST(sent<promotion_order>().empty());
+  Knowledge.AreCommitsReported = true;
+  setKnowledge();
+  verifyFor(100ms);
+  BOOST_TEST(sent<promotion_order>().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(and_waits_if_they_name_a_later_commit, survey_fixture) {
+  Knowledge.AreCommitsReported = true;
+  Knowledge.Acknowledged = groups::log_position{1, 10};
+  claim();
+  verifyFor(1500ms);
+  BOOST_TEST(sent<promotion_order>().empty());
+  Knowledge.Acknowledged = groups::log_position{1, 9};
+  setKnowledge();
+  verifyFor(100ms);
+  BOOST_TEST(sent<promotion_order>().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(and_waits_without_them_until_all_replicas_are_listed,
+                        survey_fixture) {
+  claim();
+  fenced(R1, 5);
+  fenced(R2, 9);
+  verifyFor(50ms);
+  auto NeededAt = Promotion.listNeededAt();
+  BOOST_REQUIRE(NeededAt.has_value());
+  BOOST_TEST(((*NeededAt - Now) > engine_options{}.LeaseDuration + 1000ms));
+  Knowledge.ListedAt = *NeededAt - 1us;
+  setKnowledge();
+  verifyFor(1500ms);
+  BOOST_TEST(sent<promotion_order>().empty());
+  Knowledge.ListedAt = *NeededAt;
+  setKnowledge();
+  verifyFor(100ms);
+  BOOST_TEST(sent<promotion_order>().size() == 1U);
+}
+
+// Guards against an attempt that starts its wait again for an instance on which
+// no lease can rest, and expires.
+BOOST_FIXTURE_TEST_CASE(and_takes_in_what_is_listed_meanwhile, survey_fixture) {
+  const base::instance_id R3("r3");
+  claim();
+  verifyFor(1000ms);
+  Knowledge.ListedAt = Now;
+  setKnowledge();
+  Promotion.recordListedMember({R3, false}, Now, Actions);
+  Knowledge.ListedAt = Now + 2000ms;
+  setKnowledge();
+  fenced(R3, 12);
+  for (base::time_point End = Now + 200ms; Now < End;) {
+    advanceBy(10ms);
+    fenced(R1, 5);
+    fenced(R2, 9);
+    fenced(R3, 12);
+  }
+  BOOST_REQUIRE(!sent<promotion_order>().empty());
+  BOOST_TEST(sent<promotion_order>()[0].Instance == R3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_CASE(goes_on_with_it_if_it_answers_after_all, fixture) {
   Knowledge.IsListComplete = false;
   claim();
--- a/packages/sessions/tests/simulated_clients.cpp
+++ b/packages/sessions/tests/simulated_clients.cpp
@@ -148,7 +148,7 @@
   } else {
     clientSucceeded(Client, Answer);
     if (!Client.Remaining.empty()) {
-      sendNext(Index);
+      pauseAndSendNext(Index);
       return;
     }
   }
@@ -156,6 +156,23 @@
   deliverIn(World.Load.Pause, [this, Index] { runClient(Index); });
 }
 
+void simulated_host::pauseAndSendNext(std::size_t Index) {
+  base::duration MaxPause = World.Load.MaxStatementPause;
+  if (MaxPause <= base::duration{}) {
+    sendNext(Index);
+    return;
+  }
+  base::duration Pause(static_cast<std::int64_t>(
+      World.Random.below(static_cast<std::uint64_t>(MaxPause.count()))));
+  std::uint64_t Attempt = ++Clients[Index].Attempt;
+  deliverIn(Pause, [this, Index, Attempt, Session = Clients[Index].Session] {
+    // The session may have ended meanwhile.
+    const client &Client = Clients[Index];
+    if (Client.Session == Session && Client.Attempt == Attempt)
+      sendNext(Index);
+  });
+}
+
 bool simulated_host::clientRefused(const client &Client, refusal Reason) {
   if (guaranteesNoEffect(Reason) && Client.Step != Reading)
     Client.Group->recordRefused(Client.Write);
--- a/packages/sessions/tests/store_watch_test.cpp
+++ b/packages/sessions/tests/store_watch_test.cpp
@@ -131,6 +131,15 @@
 
 // Guards against a hundred hosts that call at a high rate during an outage; the
 // store charges for rejected calls too.
+// Guards against an attempt to promote that ends before the list of instances
+// is known to be current.
+BOOST_FIXTURE_TEST_CASE(with_short_waits_while_the_host_promotes,
+                        informed_host) {
+  Watch.setWatcher(true);
+  Watch.setPromoting(true);
+  BOOST_TEST((*Watch.startCall(Catalog, at(800ms)) <= 300ms));
+}
+
 BOOST_FIXTURE_TEST_CASE(less_often_while_the_store_fails, informed_host) {
   int Calls = 0;
   for (base::duration Time = 2300ms; Time < 12300ms; Time += 1ms)
--- a/packages/sessions/tests/support/simulated_group.h
+++ b/packages/sessions/tests/support/simulated_group.h
@@ -49,6 +49,8 @@
   bool IsRunning = true;
   /// Number of starts; connections and deliveries of an earlier run are void.
   std::uint64_t Run = 1;
+  /// Time of its first report to the store.
+  base::time_point FirstReportAt;
   /// Until when the instance reports itself cold.
   base::time_point ColdUntil;
   /// Arrivals of statements while it was cold, in the last second.
@@ -119,6 +121,12 @@
   /// later.
   std::optional<base::duration> drawSecondAnswer(const base::instance_id &Id,
                                                  backend_verb Verb);
+  /// Instances that start from now on report to the store for the first time
+  /// up to \p Time after their start.
+  void setMaxReportDelay(base::duration Time) { MaxReportDelay = Time; }
+  /// Number of replicas that have to receive a commit before it is
+  /// acknowledged: 0 or 1.
+  void setSyncReplicas(int Count) { SyncReplicas = Count; }
   /// Instances that start from now on report themselves cold for \p Time.
   void setColdTime(base::duration Time) { ColdTime = Time; }
   /// Records a statement that reaches \p Id. Returns how many have reached it
@@ -179,6 +187,9 @@
   void acknowledge(const base::instance_id &Primary, std::uint64_t Run,
                    groups::term_number Term, std::size_t LogSize);
   void recordAcknowledged(acknowledged_commit Commit);
+  /// Forgets commits that \p Leader lacks, which a group without synchronous
+  /// replicas may lose in a promotion.
+  void forgetRolledBack(const simulated_instance &Leader);
   void takeEffect(const base::instance_id &Id);
   void checkRead(const simulated_instance &Instance, base::time_point Since);
   /// Draws whether a stuttering instance refuses a request as busy.
@@ -209,13 +220,18 @@
   promotion_order_record LastOrder;
   std::uint64_t LastInstance = 0;
   base::duration ColdTime{};
+  base::duration MaxReportDelay{};
+  int SyncReplicas = 1;
   std::uint64_t Promotions = 0;
   /// Open transactions by connection, with the write that each has made.
   std::map<std::string, std::uint64_t> Transactions;
   simulated_receipts Receipts;
   std::vector<waiting_commit> Waiting;
-  /// In the order of their acknowledgement.
+  /// Commits that clients were told of, in that order.
   std::vector<acknowledged_commit> Acknowledged;
+  /// Length of the log at the commit of each write that an instance has
+  /// answered.
+  std::map<std::uint64_t, std::size_t> AnsweredWrites;
   /// For each entry of Acknowledged, the commit up to it with the longest log.
   std::vector<std::size_t> Longest;
   std::set<std::uint64_t> Refused;
--- a/packages/sessions/tests/support/simulated_host.h
+++ b/packages/sessions/tests/support/simulated_host.h
@@ -46,6 +46,8 @@
   std::size_t ClientsPerHost = 2;
   /// Time between the end of an operation and the next one of the client.
   base::duration Pause = std::chrono::milliseconds(15);
+  /// Longest time between two statements of a transaction.
+  base::duration MaxStatementPause{};
 
   friend bool operator==(const client_load &, const client_load &) = default;
 };
@@ -193,6 +195,8 @@
   std::span<const client_step> drawOperation();
   /// Sends the statement of the next step of an operation.
   void sendNext(std::size_t Index);
+  /// Does so after the pause that the clients make in transactions.
+  void pauseAndSendNext(std::size_t Index);
   [[nodiscard]] static std::string textOf(const client &Client);
   client *clientOf(session_number Session, std::size_t &Index);
 
