Promote no log that ends before what a replica has shown

After the restart the hosts knew neither the primary of the term nor a position, and holdsAllCommits asked for none if the old primary was unknown or no member any more. They also respected the claim of a process that had ended, waited for successors that had started before the announcement, and for fenced members that had ended.

The claim now carries the old primary and the highest position that a replica has shown. No log that ends before it is promoted; if none is left, nobody is. Hosts that start find the demoted primary by the claim, and its log suffices at once. A claim of an earlier run of the same host holds nobody up.

The search kills all hosts during a series of releases.

--- a/packages/sessions/include/radishrelay/sessions/promotion.h
+++ b/packages/sessions/include/radishrelay/sessions/promotion.h
@@ -120,6 +120,9 @@
   std::optional<groups::log_position> Acknowledged{};
   /// Latest time at which the list is known to have been current.
   base::time_point ListedAt{};
+  /// Highest position that a replica has shown; see
+  /// group_leadership::replicatedPosition().
+  std::optional<groups::log_position> Replicated{};
 
   friend bool operator==(const replica_knowledge &,
                          const replica_knowledge &) = default;
@@ -147,6 +150,11 @@
 /// verified logs, or a list that was current JoinPeriod after the leases had
 /// expired.
 ///
+/// A log that ends before replica_knowledge::Replicated is never promoted, even
+/// if all members that have more are gone: an instance that started while there
+/// was no primary holds nothing. The claim carries that position and the name
+/// of the old primary for hosts that are started anew and know neither.
+///
 /// One host at a time may do this: it holds the claim, a row in the table store
 /// that is written under a condition on its version. The version of the claim
 /// is the generation number of the order.
@@ -186,6 +194,7 @@
   /// Sets what is known about the replicas now.
   void setReplicaKnowledge(const replica_knowledge &Value) {
     Knowledge = Value;
+    recordReplicated(Value.Replicated);
   }
   /// Sets when this host has first seen the present history of the store (see
   /// base::versionIn). Until claims of earlier histories have expired, nothing
@@ -195,6 +204,8 @@
   /// start may hold acknowledged commits, so it takes part in the attempt.
   void recordListedMember(const promotion_member &Member, base::time_point Now,
                           promotion_actions &Actions);
+  /// Reports that \p Instance is no longer a member of the group.
+  void recordMemberRemoved(const base::instance_id &Instance);
   /// Handles the outcome of the order \p Number; outcomes of orders of earlier
   /// attempts are ignored.
   void orderAnswered(std::uint64_t Number, order_outcome Outcome,
@@ -292,6 +303,8 @@
   /// of the store.
   [[nodiscard]] bool mayClaimBeLost(base::time_point Now) const;
   [[nodiscard]] std::string claimOwner() const;
+  void recordReplicated(const std::optional<groups::log_position> &Position);
+  void awaitLeases(base::time_point Now);
 
   base::group_id Group;
   engine_options Options;
@@ -342,6 +355,9 @@
   /// Whether the old primary has reported that it is a replica.
   bool IsPrimaryDemoted = false;
   replica_knowledge Knowledge;
+  /// Highest position that a replica was known to have reached, also by the
+  /// claims of other hosts.
+  std::optional<groups::log_position> Replicated;
   /// Until when an evacuated candidate is not ordered, since a member outside
   /// may answer.
   std::optional<base::time_point> BetterAwaitedUntil;
--- a/packages/sessions/src/claim_watch.cpp
+++ b/packages/sessions/src/claim_watch.cpp
@@ -26,26 +26,30 @@
 constexpr base::duration MaxRetryDelay = std::chrono::milliseconds(1600);
 /// More than the number of hosts that ask one reader.
 constexpr std::size_t MaxOpenRequests = 256;
-/// Bytes of names in one reply; the rest of a datagram is left for numbers.
-constexpr std::size_t MaxNameBytes = 700;
-constexpr std::size_t MaxClaimsPerReply = 50;
+/// Bytes of the claims in one reply; the rest of a datagram of 1,400 bytes is
+/// left for its other fields.
+constexpr std::size_t MaxClaimBytes = 1200;
+/// Bytes that a claim takes beside its names: five numbers of up to five bytes
+/// and the marks of its fields.
+constexpr std::size_t ClaimNumberBytes = 35;
 
 /// Divides a read of all claims into parts that fit into datagrams.
 std::vector<claim_reading> inParts(const std::vector<base::table_row> &Rows,
                                    base::time_point ReadAt) {
   std::vector<claim_reading> Parts(1);
-  std::size_t NameBytes = 0;
+  std::size_t Bytes = 0;
   for (const base::table_row &Row : Rows) {
     base::group_id Group(Row.Key.Key);
-    std::vector<group_claim> &Claims = Parts.back().Range.Claims;
-    NameBytes += Row.Key.Key.size();
-    if (NameBytes > MaxNameBytes || Claims.size() == MaxClaimsPerReply) {
+    group_claim Claim{Group, viewOf(Row.Value), ledTermOf(Row.Value)};
+    std::size_t ClaimBytes =
+        Row.Key.Key.size() + Claim.View.Leader.str().size() + ClaimNumberBytes;
+    Bytes += ClaimBytes;
+    if (Bytes > MaxClaimBytes) {
       Parts.back().Range.To = Group;
       Parts.emplace_back().Range.From = Group;
-      NameBytes = Row.Key.Key.size();
+      Bytes = ClaimBytes;
     }
-    Parts.back().Range.Claims.push_back(
-        {Group, viewOf(Row.Value), ledTermOf(Row.Value)});
+    Parts.back().Range.Claims.push_back(std::move(Claim));
   }
   for (claim_reading &Part : Parts)
     Part.ReadAt = ReadAt;
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -339,18 +339,21 @@
 }
 
 void group_supervisor::advance(base::time_point Now) {
-  bool AreMembersRemoved = false;
+  std::vector<base::instance_id> Removed;
   std::erase_if(Members, [&](const auto &Entry) {
     const member_state &Member = Entry.second;
     bool IsOld = !Member.IsListed &&
                  (Now >= Member.UnlistedAt + Options.UnlistedLifetime ||
                   hasLeft(Entry.first, Member));
-    AreMembersRemoved = AreMembersRemoved || IsOld;
+    if (IsOld)
+      Removed.push_back(Entry.first);
     if (IsOld && Leadership.leader() != Entry.first)
       ReplicasChangedAt = Now;
     return IsOld;
   });
-  if (AreMembersRemoved) {
+  if (!Removed.empty()) {
+    for (const base::instance_id &Instance : Removed)
+      Promotion.recordMemberRemoved(Instance);
     updateMembers(Now);
     Leadership.recordMemberRemoved(Now);
   }
--- a/packages/sessions/src/group_supervisor_promotion.cpp
+++ b/packages/sessions/src/group_supervisor_promotion.cpp
@@ -66,8 +66,20 @@
   // nothing about commits of a leader that is not confirmed yet.
   if (Leadership.primary() && Leadership.term() == Leadership.highestTerm())
     Knowledge.NeededPosition = Leadership.positionSince(ReplicasChangedAt);
+  // A primary that was demoted has acknowledged nothing beyond its log.
+  if (!Knowledge.NeededPosition && Leadership.leaderOfHighestTerm()) {
+    auto Dated = Leadership.statuses().find(*Leadership.leader());
+    bool IsDemoted =
+        Dated != Leadership.statuses().end() &&
+        Dated->second.Status.Role == groups::instance_role::Replica &&
+        Dated->second.Status.Term == Leadership.highestTerm();
+    if (IsDemoted)
+      Knowledge.NeededPosition = Dated->second.Status.Received;
+  }
   Knowledge.IsListComplete = IsListComplete && !isSuccessorAwaited(Now);
   Knowledge.ListedAt = ListConfirmedAt;
+  if (Settings.SyncReplicas > 0)
+    Knowledge.Replicated = Leadership.replicatedPosition();
   auto Primary =
       Leadership.leader() ? Members.find(*Leadership.leader()) : Members.end();
   std::optional<base::failure_domain_id> Unreachable;
--- a/packages/sessions/src/group_supervisor_proofs.cpp
+++ b/packages/sessions/src/group_supervisor_proofs.cpp
@@ -223,6 +223,10 @@
                                  base::time_point Now) {
   HasReadClaim = true;
   Leadership.recordTerm(Claim.LedTerm);
+  if (!Claim.View.Leader.empty())
+    Leadership.recordLeader(Claim.View.Leader, Claim.View.LeaderTerm);
+  if (Claim.View.Replicated)
+    Leadership.recordReplicated(*Claim.View.Replicated);
   Leadership.recordClaim(Claim.View, ReadAt, Now);
   if (isProvedAnew(Now))
     recordPrimaryProved(Now);
--- a/packages/sessions/src/peer_message.cpp
+++ b/packages/sessions/src/peer_message.cpp
@@ -94,10 +94,14 @@
     Result.push_back(Reply.ReadDelay->count());
     Result.push_back(Reply.Range.From.str());
     Result.push_back(Reply.Range.To.str());
-    for (const group_claim &Claim : Reply.Range.Claims)
-      Result.push_back(
-          json::array({Claim.Group.str(), Claim.View.AnnouncedTerm,
-                       Claim.View.IsAttemptInProgress, Claim.LedTerm}));
+    for (const group_claim &Claim : Reply.Range.Claims) {
+      const claim_view &View = Claim.View;
+      json Packed = json::array({Claim.Group.str(), View.AnnouncedTerm,
+                                 View.IsAttemptInProgress, Claim.LedTerm,
+                                 View.Leader.str(), View.LeaderTerm});
+      packPosition(Packed, View.Replicated);
+      Result.push_back(std::move(Packed));
+    }
     return Result;
   }
   json operator()(const watch_report &Report) const {
@@ -183,6 +187,23 @@
   return Reply;
 }
 
+group_claim unpackClaim(const json &Packed) {
+  constexpr std::size_t LeaderIndex = 4;
+  constexpr std::size_t PositionIndex = 6;
+  group_claim Claim{
+      base::group_id(Packed.at(0).get<std::string>()),
+      {Packed.at(1).get<groups::term_number>(), Packed.at(2).get<bool>()},
+      Packed.at(3).get<groups::term_number>()};
+  // Hosts of an earlier version name no leader.
+  if (Packed.size() <= LeaderIndex)
+    return Claim;
+  Claim.View.Leader =
+      base::instance_id(Packed.at(LeaderIndex).get<std::string>());
+  Claim.View.LeaderTerm = Packed.at(LeaderIndex + 1).get<groups::term_number>();
+  Claim.View.Replicated = unpackPosition(Packed, PositionIndex);
+  return Claim;
+}
+
 claim_reply unpackClaims(const json &Packed) {
   constexpr std::size_t SizeWithoutRead = 3;
   constexpr std::size_t FirstClaim = 6;
@@ -196,11 +217,7 @@
   Reply.Range.From = base::group_id(Packed.at(4).get<std::string>());
   Reply.Range.To = base::group_id(Packed.at(5).get<std::string>());
   for (std::size_t Index = FirstClaim; Index < Packed.size(); ++Index) {
-    const json &Claim = Packed.at(Index);
-    Reply.Range.Claims.push_back(
-        {base::group_id(Claim.at(0).get<std::string>()),
-         {Claim.at(1).get<groups::term_number>(), Claim.at(2).get<bool>()},
-         Claim.at(3).get<groups::term_number>()});
+    Reply.Range.Claims.push_back(unpackClaim(Packed.at(Index)));
   }
   return Reply;
 }
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -79,8 +79,14 @@
 
 void promotion::abandonExpired(base::time_point Now,
                                promotion_actions &Actions) {
-  abandon("the claim expires before the platform has accepted an order", Now,
-          Actions);
+  bool IsLogMissing = Replicated && Fenced.size() >= neededFences() &&
+                      std::ranges::none_of(Fenced, [this](const auto &Entry) {
+                        return Entry.second.Received >= *Replicated;
+                      });
+  abandon(IsLogMissing
+              ? "no fenced instance holds the log that a replica has shown"
+              : "the claim expires before the platform has accepted an order",
+          Now, Actions);
 }
 
 void promotion::beginFencing(base::time_point Now, promotion_actions &Actions) {
@@ -156,8 +162,11 @@
     return;
   }
   Fenced[Instance] = Status;
-  if (Fenced.size() < neededFences())
-    return;
+  if (Fenced.size() >= neededFences())
+    awaitLeases(Now);
+}
+
+void promotion::awaitLeases(base::time_point Now) {
   if (!FencedAt)
     FencedAt = Now;
   if (Stage == promotion_stage::Fencing)
@@ -267,6 +276,17 @@
   enter(promotion_stage::Fencing, Now + CallInterval);
 }
 
+void promotion::recordMemberRemoved(const base::instance_id &Instance) {
+  bool IsOrdered = OpenOrders > 0 && Instance == Candidate;
+  if (isIdle() || Stage >= promotion_stage::Announcing || IsOrdered)
+    return;
+  std::erase_if(Request.Members, [&](const auto &Member) {
+    return Member.Instance == Instance;
+  });
+  Fenced.erase(Instance);
+  Verified.erase(Instance);
+}
+
 std::optional<base::time_point> promotion::fencedWithoutPrimaryAt() const {
   bool IsDeciding =
       Stage > promotion_stage::Fencing && Stage < promotion_stage::Announcing;
@@ -302,6 +322,9 @@
   case promotion_stage::Fencing:
     DueAt = Now + CallInterval;
     sendFences(Actions);
+    // A member that was missing may have been removed.
+    if (!Fenced.empty() && Fenced.size() >= neededFences())
+      awaitLeases(Now);
     return;
   case promotion_stage::AwaitingLeases: {
     base::time_point SafeAt = leasesExpireAt();
@@ -343,6 +366,8 @@
   Result["term"] = Request.Term;
   Result["candidate"] = Candidate.str();
   Result["fenced"] = Fenced.size();
+  if (Replicated)
+    Result["replicated"] = {Replicated->Term, Replicated->Offset};
   return Result;
 }
 
--- a/packages/sessions/src/promotion_claim.cpp
+++ b/packages/sessions/src/promotion_claim.cpp
@@ -37,6 +37,20 @@
   return Claim[Key].get<groups::term_number>();
 }
 
+std::optional<groups::log_position> positionField(const base::json &Claim) {
+  if (!Claim.is_object() || !Claim.contains("replicated"))
+    return std::nullopt;
+  const base::json &Position = Claim["replicated"];
+  std::optional<groups::term_number> Term = termField(Position, "term");
+  bool HasOffset = Position.is_object() && Position.contains("offset") &&
+                   Position["offset"].is_number_integer() &&
+                   Position["offset"] >= 0;
+  if (!Term || !HasOffset)
+    return std::nullopt;
+  return groups::log_position{*Term,
+                              Position["offset"].get<groups::log_offset>()};
+}
+
 } // namespace
 
 base::row_key promotionClaimKey(const base::group_id &Group) {
@@ -50,8 +64,16 @@
   // Hosts of an earlier release do not write the announced term.
   groups::term_number Announced =
       IsAnnounced ? termField(Claim, "term").value_or(0) + 1 : 0;
-  return {termField(Claim, "announced_term").value_or(Announced),
-          !Claim.is_null() && !IsAnnounced};
+  claim_view View{termField(Claim, "announced_term").value_or(Announced),
+                  !Claim.is_null() && !IsAnnounced};
+  bool IsDone = base::flagField(Claim, "done");
+  View.Leader = base::instance_id(
+      base::textField(Claim, IsDone ? "instance" : "primary"));
+  if (!View.Leader.empty())
+    View.LeaderTerm =
+        IsDone ? View.AnnouncedTerm : termField(Claim, "term").value_or(0);
+  View.Replicated = positionField(Claim);
+  return View;
 }
 
 groups::term_number ledTermOf(const base::json &Claim) {
@@ -69,6 +91,12 @@
   return IsOrdering && !HasArrived;
 }
 
+void promotion::recordReplicated(
+    const std::optional<groups::log_position> &Position) {
+  if (Position)
+    Replicated = std::max(Replicated.value_or(*Position), *Position);
+}
+
 std::string promotion::claimOwner() const {
   return Options.Host.str() + "/" + Options.Incarnation;
 }
@@ -141,7 +169,9 @@
   // Respects a claim on an older term too: its owner may still repeat an order,
   // and a lower generation must not follow a higher one.
   bool IsRespected = Row && Now < SeenAt + claimPeriod(Row->Value);
-  bool IsOwn = Row && base::textField(Row->Value, "holder") == claimOwner();
+  // An earlier run of this host, which has ended, announces nothing any more.
+  bool IsOwn = Row && base::textField(Row->Value, "holder")
+                          .starts_with(Options.Host.str() + "/");
   // The order of an earlier attempt of this host may be held up as well.
   if (IsRespected && (!IsOwn || mayOrderArrive(Row->Value))) {
     abandon(IsOwn ? "the last order may still reach the platform"
@@ -149,8 +179,12 @@
             Now, Actions);
     return;
   }
-  EarlierAnnouncedTerm = Row ? viewOf(Row->Value).AnnouncedTerm : 0;
+  claim_view View = viewOf(Row ? Row->Value : base::json());
+  EarlierAnnouncedTerm = View.AnnouncedTerm;
   AnnouncedTerm = EarlierAnnouncedTerm;
+  recordReplicated(View.Replicated);
+  if (Request.OldPrimary.empty() && View.LeaderTerm == Request.Term)
+    Request.OldPrimary = View.Leader;
   Operation = std::to_string(Random());
   enter(promotion_stage::Claiming, Now + StoreTimeout);
   ClaimDeadline = Now + OrderPeriod;
@@ -174,7 +208,11 @@
   Value["holder"] = claimOwner();
   Value["operation"] = Operation;
   Value["term"] = Request.Term;
+  Value["primary"] = Request.OldPrimary.str();
   Value["instance"] = Candidate.str();
+  if (Replicated)
+    Value["replicated"] = {{"term", Replicated->Term},
+                           {"offset", Replicated->Offset}};
   Value["ordering"] = State == claim_state::Ordering;
   Value["repeated"] = OpenOrders > 0;
   Value["done"] = State == claim_state::Done;
--- a/packages/sessions/src/promotion_order.cpp
+++ b/packages/sessions/src/promotion_order.cpp
@@ -63,6 +63,8 @@
 }
 
 bool promotion::holdsAllCommits() const {
+  if (Replicated && !hasReached(*Replicated))
+    return false;
   if (Verified.contains(Request.OldPrimary))
     return true;
   if (!Knowledge.IsListComplete || !areUnlistedExcluded())
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -501,6 +501,55 @@
   BOOST_TEST(!Fleet.ask(Session, "write x 2").Error.has_value());
 }
 
+// Guards against hosts that are all started anew after the primary was demoted,
+// and wait until the instances with the log have left (review/11).
+BOOST_AUTO_TEST_CASE(gets_another_one_if_all_hosts_were_started_anew) {
+  fake_fleet Fleet;
+  Fleet.ask(Fleet.connect("primary"), "write x 1");
+  Fleet.instance("p").Role = groups::instance_role::Replica;
+  Fleet.instance("r1").Log = Fleet.instance("p").Log;
+  Fleet.instance("r2").Log = {1, 0};
+  for (const char *Name : {"p", "r1"})
+    Fleet.listings().at(base::instance_id(Name)).Draining = true;
+  Fleet.Rows[{"promotions", "g"}] = {
+      {"promotions", "g"},
+      100,
+      {{"holder", "h1/0"}, {"operation", "9"}, {"term", 1}, {"primary", "p"}}};
+  Fleet.startHost();
+  Fleet.setCatalog(1);
+  Fleet.publishListings();
+  maxWriteGap(Fleet, Fleet.connect("primary"), 6500ms);
+  BOOST_REQUIRE(Fleet.PromotionOrders.size() >= 1U);
+  BOOST_TEST((Fleet.PromotionOrders[0].first == base::instance_id("r1") ||
+              Fleet.PromotionOrders[0].first == base::instance_id("p")));
+}
+
+// Guards against a promotion that waits for the successor of a leaving replica
+// although it was listed before the announcement.
+BOOST_AUTO_TEST_CASE(
+    is_replaced_at_once_if_the_successor_of_a_replica_started_first) {
+  fake_fleet Fleet;
+  Fleet.advanceTime(4500ms); // until claims from before the start have expired
+  session_number Session = Fleet.connect("primary");
+  Fleet.ask(Session, "write x 1");
+  instance_listing Next = Fleet.listings().at(base::instance_id("r1"));
+  Next.Domain = Fleet.listings().at(base::instance_id("r2")).Domain;
+  Fleet.listings().erase(Next.Instance);
+  Fleet.publishListings();
+  Fleet.advanceTime(engine_options{}.UnlistedLifetime + 100ms);
+  Fleet.ask(Session, "write x 2");
+  Fleet.listings()[Next.Instance] = Next;
+  Fleet.publishListings();
+  Fleet.advanceTime(500ms);
+  Fleet.listings().at(base::instance_id("r2")).Draining = true;
+  Fleet.publishListings();
+  for (const char *Name : {"r1", "r2"})
+    Fleet.instance(Name).Log = Fleet.instance("p").Log;
+  Fleet.instance("p").IsUnresponsive = true;
+  BOOST_TEST((maxWriteGap(Fleet, Session, 4000ms) < 3500ms));
+  BOOST_TEST(Fleet.PromotionOrders.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(
     is_not_promoted_again_by_a_host_that_sees_the_listing_late) {
   fake_fleet Fleet;
--- a/packages/sessions/tests/failover_search_test.cpp
+++ b/packages/sessions/tests/failover_search_test.cpp
@@ -177,6 +177,12 @@
   search({drawFaultsWithPathCuts, plainHabit, ReportInterval}, 5'000'000);
 }
 
+// Guards against promotions of instances without the log, by hosts that were
+// all killed while the instances were being replaced (review/11).
+BOOST_AUTO_TEST_CASE(keeps_its_promises_while_all_hosts_are_killed) {
+  search({drawFaultsWithMassKills, plainHabit, ReportInterval}, 5'000'000);
+}
+
 // Guards against commits that are acknowledged with an instance which has
 // started inside a cut domain, where nobody outside can know of it.
 BOOST_AUTO_TEST_CASE(keeps_its_promises_when_a_primary_is_replaced_in_a_cut) {
--- a/packages/sessions/tests/peer_message_test.cpp
+++ b/packages/sessions/tests/peer_message_test.cpp
@@ -104,6 +104,19 @@
       (std::get<commit_report>(decodeDatagram(Bytes)->Message) == Report));
 }
 
+BOOST_AUTO_TEST_CASE(carries_the_primary_and_the_log_of_a_claim) {
+  group_claim Claim{base::group_id("g"), {3, true}, 2};
+  claim_reply Reply{base::fromMicroseconds(5), base::duration(6), {}};
+  Reply.Range.Claims = {Claim};
+  Claim.View.Leader = base::instance_id("p");
+  Claim.View.LeaderTerm = 2;
+  Reply.Range.Claims.push_back(Claim);
+  Claim.View.Replicated = {2, 17};
+  Reply.Range.Claims.push_back(Claim);
+  std::string Bytes = encodeDatagram({"10.0.0.1:1", Reply});
+  BOOST_TEST((std::get<claim_reply>(decodeDatagram(Bytes)->Message) == Reply));
+}
+
 BOOST_AUTO_TEST_CASE(names_the_request_of_a_loan) {
   token_grant Grant{{base::account_id("a"), 3}, base::fromMicroseconds(12345)};
   std::string Bytes = encodeDatagram({"10.0.0.1:1", Grant});
