Answer commits without synchronous replicas by the lease as well

The instance must have led when it acknowledged the commit, as in all groups. Whether a promotion keeps the commit is not asked there.

The search plays groups without synchronous replicas, with pauses in transactions.

--- a/packages/sessions/src/group_supervisor_proofs.cpp
+++ b/packages/sessions/src/group_supervisor_proofs.cpp
@@ -53,14 +53,13 @@
 group_supervisor::isCommitProved(const base::instance_id &Instance,
                                  std::optional<groups::log_position> Position,
                                  base::time_point AcknowledgedAt) const {
-  if (Settings.SyncReplicas == 0)
-    return true;
   groups::log_position Known = Position.value_or(groups::log_position{
       Leadership.term(), std::numeric_limits<groups::log_offset>::max()});
   std::optional<bool> HasLed =
       Leadership.ledAt(AcknowledgedAt, Instance, Known.Term);
-  bool IsDecided =
-      HasLed != true || Leadership.isKept(Instance, Known, AcknowledgedAt);
+  // Without synchronous replicas, no promotion is bound to keep a commit.
+  bool IsDecided = HasLed != true || Settings.SyncReplicas == 0 ||
+                   Leadership.isKept(Instance, Known, AcknowledgedAt);
   return IsDecided ? HasLed : std::nullopt;
 }
 
--- a/packages/sessions/tests/engine_failover_test.cpp
+++ b/packages/sessions/tests/engine_failover_test.cpp
@@ -246,6 +246,43 @@
   BOOST_TEST((Answers[0].Error == refusal::InDoubt));
 }
 
+// Guards against the same in a group without synchronous replicas, whose
+// commits were answered without a look at the primary (review/13).
+BOOST_FIXTURE_TEST_CASE(leaves_one_in_doubt_without_synchronous_replicas,
+                        replaced_fleet) {
+  configuration().Groups.at(base::group_id("g")).SyncReplicas = 0;
+  configuration().TransactionIdleTimeout = 10000ms;
+  setCatalog(2);
+  session_number Session = connect("primary");
+  ask(Session, "begin");
+  ask(Session, "write x 2");
+  advanceTime(5000ms); // the lease runs out
+  replace();
+  send(Session, "commit");
+  runHeld();
+  advanceTime(1500ms);
+  std::vector<client_answer> Answers = answers(Session);
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST((Answers[0].Error == refusal::InDoubt));
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_one_without_synchronous_replicas_if_it_leads,
+                        replaced_fleet) {
+  configuration().Groups.at(base::group_id("g")).SyncReplicas = 0;
+  configuration().TransactionIdleTimeout = 10000ms;
+  setCatalog(2);
+  session_number Session = connect("primary");
+  ask(Session, "begin");
+  ask(Session, "write x 2");
+  advanceTime(5000ms); // the lease runs out
+  send(Session, "commit");
+  runHeld();
+  advanceTime(200ms);
+  std::vector<client_answer> Answers = answers(Session);
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST(!Answers[0].Error.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(answers_a_commit_once_the_claim_can_be_read,
                         replaced_fleet) {
   advanceTime(5000ms); // the lease runs out
--- a/packages/sessions/tests/failover_search_test.cpp
+++ b/packages/sessions/tests/failover_search_test.cpp
@@ -183,6 +183,13 @@
   search({drawFaultsWithMassKills, plainHabit, ReportInterval}, 5'000'000);
 }
 
+// Guards against commits of a replaced primary that clients of a group without
+// synchronous replicas are told of (review/13).
+BOOST_AUTO_TEST_CASE(keeps_its_promises_without_synchronous_replicas) {
+  search({drawFaultsWithPathCuts, variedHabit, ReportInterval, 0, 1500ms},
+         5'000'000);
+}
+
 // Guards against commits that are acknowledged with an instance which has
 // started inside a cut domain, where nobody outside can know of it.
 BOOST_AUTO_TEST_CASE(keeps_its_promises_when_a_primary_is_replaced_in_a_cut) {
