End transactions whose key is withdrawn

The configuration was looked at only where a statement begins outside a transaction.

A configuration that takes a key from its account rolls back the transactions begun with it. A statement that an instance runs is answered; the next one gets UNKNOWNKEY. Transactions whose key stands, and those of anonymous clients, go on, also if their route has changed.

--- a/packages/sessions/include/radishrelay/sessions/detail/session_state.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/session_state.h
@@ -7,6 +7,7 @@
 #include "radishrelay/sessions/client_message.h"
 #include "radishrelay/sessions/detail/cold_limit.h"
 #include "radishrelay/sessions/numbers.h"
+#include "radishrelay/sessions/refusal.h"
 #include "radishrelay/sessions/statement.h"
 
 #include <deque>
@@ -106,6 +107,8 @@
   /// Why the transaction ended without a request of its client. Empty while it
   /// is open. The client is told with its next statement.
   std::string EndReason;
+  /// Error that the client gets with EndReason.
+  refusal EndRefusal = refusal::Aborted;
 };
 
 /// One client's session.
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -158,6 +158,11 @@
   void runOnInstance(session &Session, const run_statement &Message,
                      base::time_point Now);
   [[nodiscard]] std::optional<client_answer> resolveRoute(session &Session);
+  /// Whether the key with which an open transaction began belongs to its
+  /// account no more. A transaction keeps its route, but not a withdrawn key.
+  [[nodiscard]] bool isKeyWithdrawn(const session &Session) const;
+  /// Ends the transactions whose key is withdrawn.
+  void endWithdrawnTransactions(base::time_point Now);
   void answer(session &Session, client_answer Answer, base::time_point Now);
   void answerError(session &Session, refusal Reason, const std::string &Text,
                    base::time_point Now);
@@ -311,6 +316,10 @@
 
   void drainSessions(base::time_point Now);
   void endIdleTransactions(base::time_point Now);
+  /// Rolls back the open transaction of a session that waits for its client,
+  /// who is told with the next statement.
+  void endTransactionEarly(session &Session, refusal Refusal,
+                           const std::string &Reason, base::time_point Now);
   void logOutcome(const session &Session, const client_answer &Answer,
                   base::time_point Now);
   /// Returns null if the configuration has no such group.
--- a/packages/sessions/src/session_drain.cpp
+++ b/packages/sessions/src/session_drain.cpp
@@ -16,13 +16,27 @@
         Now >= Transaction.LastUsedAt + Catalog->TransactionIdleTimeout;
     if (!IsIdle)
       continue;
-    if (connection *Connection = Pool.find(*Transaction.Connection))
-      Pool.rollBackAndRelease(*Connection, Now);
-    Transaction.Connection.reset();
-    Transaction.EndReason = "the transaction was idle for too long";
+    endTransactionEarly(Session, refusal::Aborted,
+                        "the transaction was idle for too long", Now);
   }
 }
 
+void session_engine::endTransactionEarly(session &Session, refusal Refusal,
+                                         const std::string &Reason,
+                                         base::time_point Now) {
+  detail::transaction_state &Transaction = Session.Transaction;
+  connection *Connection =
+      Transaction.Connection ? Pool.find(*Transaction.Connection) : nullptr;
+  if (Connection) {
+    Pool.rollBackAndRelease(*Connection, Now);
+    ShouldServeWaiting = true;
+  }
+  Transaction.Connection.reset();
+  Transaction.HasBegun = false;
+  Transaction.EndReason = Reason;
+  Transaction.EndRefusal = Refusal;
+}
+
 void session_engine::drain(base::time_point Now) {
   if (IsDraining)
     return;
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -151,6 +151,7 @@
   Limits.setCatalog(Catalog, Now);
   updateGroups(Now);
   updateColdLimits(Now);
+  endWithdrawnTransactions(Now);
 }
 
 void session_engine::setInstances(const std::vector<instance_listing> &List,
--- a/packages/sessions/src/session_statements.cpp
+++ b/packages/sessions/src/session_statements.cpp
@@ -11,6 +11,9 @@
 /// be answered. A client that sends more is disconnected.
 constexpr std::size_t MaxPipelinedStatements = 64;
 
+constexpr const char *WithdrawnKeyText =
+    "the key of the transaction was withdrawn";
+
 /// Returns the regions that both the route and the account allow; empty if
 /// neither names any.
 std::optional<std::set<base::region_id>>
@@ -61,6 +64,41 @@
   return std::nullopt;
 }
 
+bool session_engine::isKeyWithdrawn(const session &Session) const {
+  bool IsOfAccount =
+      Session.Phase == session_phase::InTransaction && !Session.Account.empty();
+  if (!IsOfAccount)
+    return false;
+  auto Key = Catalog->Keys.find(Session.Key);
+  return Key == Catalog->Keys.end() || Key->second != Session.Account ||
+         Catalog->InadmissibleKeys.contains(Session.Key);
+}
+
+void session_engine::endWithdrawnTransactions(base::time_point Now) {
+  std::vector<session_number> Numbers;
+  for (const auto &[Number, Session] : Sessions)
+    if (isKeyWithdrawn(Session))
+      Numbers.push_back(Number);
+  for (session_number Number : Numbers) {
+    session &Session = Sessions.at(Number);
+    if (!Session.Current) {
+      endTransactionEarly(Session, refusal::UnknownKey, WithdrawnKeyText, Now);
+      continue;
+    }
+    // A statement that was sent before is answered.
+    bool IsSent = Session.Current->Stage == stage::Running ||
+                  Session.Current->Stage == stage::AwaitingProof;
+    if (IsSent)
+      continue;
+    // Closing the connection rolls its transaction back.
+    if (const connection *Connection = connectionOf(Session))
+      Pool.discard(Connection->Number);
+    Session.Transaction.Connection.reset();
+    Session.Transaction.HasBegun = false;
+    answerError(Session, refusal::UnknownKey, WithdrawnKeyText, Now);
+  }
+}
+
 void session_engine::start(session &Session, const start_session &Message,
                            base::time_point Now) {
   if (Session.IsStarted) {
@@ -222,8 +260,12 @@
   Operation.Stage =
       Operation.NeedsToken ? stage::AwaitingToken : stage::AwaitingInstance;
   Session.Current = std::move(Operation);
+  // The key may have been withdrawn while the last statement ran.
+  if (isKeyWithdrawn(Session))
+    endTransactionEarly(Session, refusal::UnknownKey, WithdrawnKeyText, Now);
   if (!Session.Transaction.EndReason.empty()) {
-    answerError(Session, refusal::Aborted, Session.Transaction.EndReason, Now);
+    answerError(Session, Session.Transaction.EndRefusal,
+                Session.Transaction.EndReason, Now);
     return;
   }
   advanceOperation(Session, Now);
--- a/packages/sessions/tests/engine_statements_test.cpp
+++ b/packages/sessions/tests/engine_statements_test.cpp
@@ -38,6 +38,91 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a client that goes on in an open transaction with a key that
+// the operators have taken away (review/14).
+BOOST_AUTO_TEST_SUITE(whose_key_is_withdrawn_in_a_transaction)
+
+struct fixture : fake_fleet {
+  fixture() {
+    Session = connect("primary");
+    ask(Session, "begin");
+    ask(Session, "write x 1");
+    Requests.clear();
+  }
+
+  void withdraw(const std::string &Key = "key-1") {
+    configuration().Keys.erase(Key);
+    setCatalog(2);
+  }
+
+  std::size_t countSent(backend_verb Verb) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        Requests, [&](const auto &Sent) { return Sent.second.Verb == Verb; }));
+  }
+
+  session_number Session{};
+};
+
+BOOST_FIXTURE_TEST_CASE(is_rolled_back_at_once, fixture) {
+  withdraw();
+  advanceTime(1ms);
+  BOOST_TEST(countSent(backend_verb::Rollback) == 1U);
+  BOOST_TEST(answers(Session).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_no_further_statement_run, fixture) {
+  withdraw();
+  for (const char *Text : {"read x", "write x 2", "commit"})
+    BOOST_TEST(ask(Session, Text).Error.has_value());
+  BOOST_TEST(countSent(backend_verb::Forward) == 0U);
+  BOOST_TEST((ask(Session, "read x").Error == refusal::UnknownKey));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_told_so_by_the_next_statement, fixture) {
+  withdraw();
+  BOOST_TEST((ask(Session, "commit").Error == refusal::UnknownKey));
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_the_answer_to_a_statement_that_runs, fixture) {
+  send(Session, "write x 2");
+  withdraw();
+  runHeld();
+  BOOST_TEST(!answers(Session).at(0).Error.has_value());
+  BOOST_TEST((ask(Session, "commit").Error == refusal::UnknownKey));
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_no_statement_run_that_waits_for_an_instance,
+                        fixture) {
+  session_number Other = connect("primary");
+  ask(Other, "begin");
+  instance("p").IsUnresponsive = true;
+  send(Other, "write x 3"); // waits until the instance has begun
+  withdraw();
+  std::vector<client_answer> Answers = answers(Other);
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST((Answers[0].Error == refusal::UnknownKey));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_ended_too_if_the_key_passes_to_another_account,
+                        fixture) {
+  configuration().Keys["key-1"] = base::account_id("t2");
+  setCatalog(2);
+  BOOST_TEST((ask(Session, "commit").Error == refusal::UnknownKey));
+}
+
+// A transaction keeps the route with which it began, and its key if that
+// stands.
+BOOST_FIXTURE_TEST_CASE(and_leaves_other_transactions_alone, fixture) {
+  session_number Anonymous = connect("open", "");
+  ask(Anonymous, "begin");
+  configuration().Routes.erase("primary");
+  withdraw("key-2");
+  BOOST_TEST(!ask(Session, "commit").Error.has_value());
+  BOOST_TEST(!ask(Anonymous, "read x").Error.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(runs_statements)
 
 BOOST_AUTO_TEST_CASE(and_returns_the_rows_and_the_receipt_of_the_instance) {
