Answer commits beside the primary only with a contact outside

A host in the failure domain of the primary now answers a commit after a host outside has answered a datagram that it sent since the acknowledgement: one round trip, without a call to an instance or the store.

--- a/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/group_supervisor.h
@@ -5,6 +5,7 @@
 #include "radishrelay/sessions/detail/backend_pool.h"
 #include "radishrelay/sessions/detail/claim_watch.h"
 #include "radishrelay/sessions/detail/commit_survey.h"
+#include "radishrelay/sessions/detail/domain_contact.h"
 #include "radishrelay/sessions/detail/fleet_members.h"
 #include "radishrelay/sessions/detail/promotion_votes.h"
 #include "radishrelay/sessions/detail/store_calls.h"
@@ -32,7 +33,7 @@
   group_supervisor(base::group_id Group, const engine_options &Options,
                    backend_pool &Pool, store_calls &Store,
                    const store_history &History, fleet_members &Members,
-                   claim_watch &Claims, event_log &Log,
+                   claim_watch &Claims, domain_contact &Contact, event_log &Log,
                    base::time_point StartedAt);
 
   /// Updates the members of the group from the instances of all groups that the
@@ -183,6 +184,12 @@
 
   /// Whether \p Instance is in the failure domain of this host.
   [[nodiscard]] bool isInOwnDomain(const base::instance_id &Instance) const;
+  /// Whether hosts outside the failure domain of \p Primary can ask this host
+  /// for commits, or could since \p Time.
+  [[nodiscard]] bool hasContact(const base::instance_id &Primary,
+                                base::time_point Time) const;
+  /// Whether a commit has waited for isCommitProved() just now.
+  [[nodiscard]] bool isCommitWaiting(base::time_point Now) const;
   /// Renews the proof before it expires: asks other hosts first, then probes.
   void seekProof(base::time_point Now);
   void requestProofFromProbers(base::time_point Now);
@@ -255,6 +262,7 @@
   const store_history &History;
   fleet_members &Fleet;
   claim_watch &Claims;
+  domain_contact &Contact;
   event_log &Log;
   group_settings Settings;
   group_roles Roles;
--- a/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
+++ b/packages/sessions/include/radishrelay/sessions/detail/peer_message.h
@@ -105,6 +105,23 @@
                          const commit_report &) = default;
 };
 
+/// Asks a host of another failure domain for a sign that it can be reached.
+struct contact_request {
+  /// Send time on the sender's clock; the reply returns it.
+  base::time_point SentAt;
+
+  friend bool operator==(const contact_request &,
+                         const contact_request &) = default;
+};
+
+/// Answers a contact_request.
+struct contact_reply {
+  base::time_point AskedAt;
+
+  friend bool operator==(const contact_reply &,
+                         const contact_reply &) = default;
+};
+
 /// Requests the receiver's watch_report.
 struct report_request {
   friend bool operator==(const report_request &,
@@ -165,7 +182,8 @@
 using peer_message =
     std::variant<token_request, token_grant, proof_request, proof_reply,
                  promotion_vote, watch_report, report_request, claim_request,
-                 claim_reply, commit_inquiry, commit_report>;
+                 claim_reply, commit_inquiry, commit_report, contact_request,
+                 contact_reply>;
 
 /// A message with the address to which replies are sent.
 struct peer_datagram {
--- a/packages/sessions/include/radishrelay/sessions/group_leadership.h
+++ b/packages/sessions/include/radishrelay/sessions/group_leadership.h
@@ -78,13 +78,15 @@
   [[nodiscard]] std::optional<bool> ledAt(base::time_point AcknowledgedAt,
                                           const base::instance_id &Instance,
                                           groups::term_number CommitTerm) const;
-  /// Whether a commit that \p Instance acknowledged at \p AcknowledgedAt is in
-  /// the log of every instance that may be promoted later: a listed replica has
-  /// shown its position, or this host can still be asked for it by the next
-  /// promotion, since that had not begun, or not outlasted a lease, by then.
-  [[nodiscard]] bool isKept(const base::instance_id &Instance,
-                            groups::log_position Position,
-                            base::time_point AcknowledgedAt) const;
+  /// Whether a replica that every promotion has to fence has shown
+  /// \p Position.
+  [[nodiscard]] bool isReplicated(groups::log_position Position) const;
+  /// Whether a promotion can still ask this host for a commit that \p Instance
+  /// acknowledged at \p AcknowledgedAt: it had not begun, or not outlasted a
+  /// lease, by then.
+  [[nodiscard]] bool canBeReported(const base::instance_id &Instance,
+                                   groups::term_number CommitTerm,
+                                   base::time_point AcknowledgedAt) const;
   /// Up to when a read of the claim vouches for acknowledged commits.
   [[nodiscard]] base::time_point atRestUntil() const { return AtRestUntil; }
   /// Ends the lease for a host that promotes an instance. Only proofs sent
--- a/packages/sessions/include/radishrelay/sessions/session_engine.h
+++ b/packages/sessions/include/radishrelay/sessions/session_engine.h
@@ -350,6 +350,7 @@
   detail::backend_pool Pool;
   detail::fleet_members Members;
   detail::claim_watch Claims;
+  detail::domain_contact Contact;
   detail::fleet_limits Limits;
   detail::store_watch Watch;
   detail::store_history History;
--- a/packages/sessions/src/group_leadership.cpp
+++ b/packages/sessions/src/group_leadership.cpp
@@ -133,15 +133,18 @@
   Unconfirmed.reset();
 }
 
-bool group_leadership::isKept(const base::instance_id &Instance,
-                              groups::log_position Position,
-                              base::time_point AcknowledgedAt) const {
-  bool IsReplicated = Replicated && Replicated->Term == Position.Term &&
-                      *Replicated >= Position;
-  bool IsUnderLease = isLease(Instance, Position.Term) &&
+bool group_leadership::isReplicated(groups::log_position Position) const {
+  return Replicated && Replicated->Term == Position.Term &&
+         *Replicated >= Position;
+}
+
+bool group_leadership::canBeReported(const base::instance_id &Instance,
+                                     groups::term_number CommitTerm,
+                                     base::time_point AcknowledgedAt) const {
+  bool IsUnderLease = isLease(Instance, CommitTerm) &&
                       AcknowledgedAt >= LeaseBegunAt &&
                       isProved(AcknowledgedAt);
-  return IsReplicated || IsUnderLease || AcknowledgedAt <= AtRestUntil;
+  return IsUnderLease || AcknowledgedAt <= AtRestUntil;
 }
 
 void group_leadership::release(base::time_point Now) {
--- a/packages/sessions/src/group_supervisor.cpp
+++ b/packages/sessions/src/group_supervisor.cpp
@@ -23,11 +23,13 @@
                                    backend_pool &Pool, store_calls &Store,
                                    const store_history &History,
                                    fleet_members &Fleet, claim_watch &Claims,
-                                   event_log &Log, base::time_point StartedAt)
+                                   domain_contact &Contact, event_log &Log,
+                                   base::time_point StartedAt)
     : Group(std::move(Group)), Options(Options), Pool(Pool), Store(Store),
-      History(History), Fleet(Fleet), Claims(Claims), Log(Log),
-      Leadership(Options.LeaseDuration), Promotion(this->Group, Options),
-      Votes(Options.VoteLifetime), Survey(Fleet), StartedAt(StartedAt) {}
+      History(History), Fleet(Fleet), Claims(Claims), Contact(Contact),
+      Log(Log), Leadership(Options.LeaseDuration),
+      Promotion(this->Group, Options), Votes(Options.VoteLifetime),
+      Survey(Fleet), StartedAt(StartedAt) {}
 
 void group_supervisor::setListings(
     const std::map<base::instance_id, instance_listing> &List,
@@ -154,9 +156,12 @@
   // primary again.
   if (!Roles.IsProber)
     return isPrimarySuspected() && Leadership.leader();
+  // Commits that no host outside can ask for need the status of a replica.
+  bool IsStatusNeeded = Contact.isSilent(Now) && isCommitWaiting(Now);
   base::time_point RenewedBy = Now + RenewalLeadTime;
-  return isPrimarySuspected() || !(Leadership.isProved(RenewedBy) ||
-                                   Leadership.claimAwaitedSince(RenewedBy));
+  return isPrimarySuspected() || IsStatusNeeded ||
+         !(Leadership.isProved(RenewedBy) ||
+           Leadership.claimAwaitedSince(RenewedBy));
 }
 
 bool group_supervisor::isReachable(const base::instance_id &Instance,
--- a/packages/sessions/src/group_supervisor_proofs.cpp
+++ b/packages/sessions/src/group_supervisor_proofs.cpp
@@ -58,15 +58,25 @@
   std::optional<bool> HasLed =
       Leadership.ledAt(AcknowledgedAt, Instance, Known.Term);
   // Without synchronous replicas, no promotion is bound to keep a commit.
-  bool IsDecided = HasLed != true || Settings.SyncReplicas == 0 ||
-                   Leadership.isKept(Instance, Known, AcknowledgedAt);
+  bool IsDecided =
+      HasLed != true || Settings.SyncReplicas == 0 ||
+      Leadership.isReplicated(Known) ||
+      (hasContact(Instance, AcknowledgedAt) &&
+       Leadership.canBeReported(Instance, Known.Term, AcknowledgedAt));
   return IsDecided ? HasLed : std::nullopt;
 }
 
+bool group_supervisor::hasContact(const base::instance_id &Primary,
+                                  base::time_point Time) const {
+  return !isInOwnDomain(Primary) || Contact.isReachedSince(Time);
+}
+
 void group_supervisor::requestCommitProof(base::time_point AcknowledgedAt,
                                           base::time_point Now) {
   UnprovedCommitAt = AcknowledgedAt;
   CommitProofRequestedAt = Now;
+  if (Leadership.leader() && isInOwnDomain(*Leadership.leader()))
+    Contact.request(AcknowledgedAt, Now);
   requestProof(Now);
 }
 
@@ -188,12 +198,16 @@
   return true;
 }
 
+bool group_supervisor::isCommitWaiting(base::time_point Now) const {
+  return Now < CommitProofRequestedAt + CommitProofLifetime;
+}
+
 std::optional<base::time_point>
 group_supervisor::claimNeededFor(base::time_point Now) const {
-  bool IsCommitWaiting = Now < CommitProofRequestedAt + CommitProofLifetime &&
-                         !Leadership.isProved(UnprovedCommitAt) &&
-                         UnprovedCommitAt > Leadership.atRestUntil();
-  if (IsCommitWaiting)
+  bool IsCommitUnproved = isCommitWaiting(Now) &&
+                          !Leadership.isProved(UnprovedCommitAt) &&
+                          UnprovedCommitAt > Leadership.atRestUntil();
+  if (IsCommitUnproved)
     return UnprovedCommitAt;
   std::optional<base::time_point> AwaitedSince =
       Leadership.claimAwaitedSince(Now);
--- a/packages/sessions/src/peer_message.cpp
+++ b/packages/sessions/src/peer_message.cpp
@@ -22,6 +22,8 @@
 constexpr int ClaimReplyKind = 9;
 constexpr int CommitInquiryKind = 10;
 constexpr int CommitReportKind = 11;
+constexpr int ContactRequestKind = 12;
+constexpr int ContactReplyKind = 13;
 
 void packPosition(json &Packed,
                   const std::optional<groups::log_position> &Position) {
@@ -63,6 +65,14 @@
     packPosition(Result, Reply.Replicated);
     return Result;
   }
+  json operator()(const contact_request &Request) const {
+    return json::array(
+        {ContactRequestKind, ReplyTo, base::toMicroseconds(Request.SentAt)});
+  }
+  json operator()(const contact_reply &Reply) const {
+    return json::array(
+        {ContactReplyKind, ReplyTo, base::toMicroseconds(Reply.AskedAt)});
+  }
   json operator()(const commit_inquiry &Inquiry) const {
     return json::array({CommitInquiryKind, ReplyTo, Inquiry.Group.str(),
                         Inquiry.Term, Inquiry.Round});
@@ -292,6 +302,12 @@
                        unpackAge(Packed.at(3))}};
     case ClaimReplyKind:
       return peer_datagram{ReplyTo, unpackClaims(Packed)};
+    case ContactRequestKind:
+      return peer_datagram{ReplyTo, contact_request{base::fromMicroseconds(
+                                        Packed.at(2).get<std::int64_t>())}};
+    case ContactReplyKind:
+      return peer_datagram{ReplyTo, contact_reply{base::fromMicroseconds(
+                                        Packed.at(2).get<std::int64_t>())}};
     case CommitInquiryKind:
       return peer_datagram{ReplyTo, unpackInquiry(Packed)};
     case CommitReportKind:
--- a/packages/sessions/src/promotion.cpp
+++ b/packages/sessions/src/promotion.cpp
@@ -366,6 +366,7 @@
   Result["term"] = Request.Term;
   Result["candidate"] = Candidate.str();
   Result["fenced"] = Fenced.size();
+  Result["commits_reported"] = Knowledge.AreCommitsReported;
   if (Replicated)
     Result["replicated"] = {Replicated->Term, Replicated->Offset};
   return Result;
--- a/packages/sessions/src/session_engine.cpp
+++ b/packages/sessions/src/session_engine.cpp
@@ -25,7 +25,7 @@
       Claims(
           Options, Store, Members,
           [this](const auto &Reading, auto Now) { claimsRead(Reading, Now); }),
-      Limits(Options, Members, Log),
+      Contact(Options, Members), Limits(Options, Members, Log),
       Evacuations(Options.EvacuationDuration - StatementTransferTime) {}
 
 bool session_engine::isReady() const {
@@ -216,8 +216,9 @@
   for (const auto &[Id, Settings] : Catalog->Groups) {
     auto [Entry, IsNew] = Groups.try_emplace(Id);
     if (IsNew) {
-      Entry->second = std::make_unique<supervisor>(
-          Id, Options, Pool, Store, History, Members, Claims, Log, *StartedAt);
+      Entry->second = std::make_unique<supervisor>(Id, Options, Pool, Store,
+                                                   History, Members, Claims,
+                                                   Contact, Log, *StartedAt);
       Entry->second->setListings(List, Now);
       Entry->second->setEvacuated(Evacuations.evacuated(), Evacuations.closed(),
                                   Now);
@@ -349,6 +350,14 @@
     if (!Catalog)
       Starting.replied(Datagram->ReplyTo,
                        detail::catalogVersion(*Report).value_or(0));
+  } else if (const auto *ContactRequest =
+                 std::get_if<detail::contact_request>(&Datagram->Message)) {
+    Members.send(detail::contact_reply{ContactRequest->SentAt},
+                 Datagram->ReplyTo);
+  } else if (const auto *ContactReply =
+                 std::get_if<detail::contact_reply>(&Datagram->Message)) {
+    Contact.receive(*ContactReply, Now);
+    ShouldServeWaiting = true;
   } else if (const auto *Inquiry =
                  std::get_if<detail::commit_inquiry>(&Datagram->Message)) {
     if (supervisor *Group = groupOf(Inquiry->Group))
@@ -407,6 +416,7 @@
   }
   Members.advance(Now);
   Claims.advance(Now);
+  Contact.advance(Now);
   adoptFirstCatalog(Now);
   watchStore(Now);
   Limits.advance(Now);
@@ -444,9 +454,10 @@
 }
 
 base::time_point session_engine::nextWake(base::time_point Now) const {
-  base::time_point Wake = std::min(
-      {NextTrimAt, Members.nextWake(), Claims.nextWake(), Limits.nextWake(),
-       Watch.nextWake(), Evacuations.nextWake(), NextColdEnd});
+  base::time_point Wake =
+      std::min({NextTrimAt, Members.nextWake(), Claims.nextWake(),
+                Contact.nextWake(), Limits.nextWake(), Watch.nextWake(),
+                Evacuations.nextWake(), NextColdEnd});
   if (!Catalog)
     Wake = std::min(Wake, Starting.nextWake());
   if (!Wakes.empty())
--- a/packages/sessions/tests/failover_search_test.cpp
+++ b/packages/sessions/tests/failover_search_test.cpp
@@ -197,6 +197,14 @@
           {fault_kind::ReplacePrimary, 5700ms, 0ms, 0}});
 }
 
+// Guards against the same within the lease duration after the cut (review/6).
+BOOST_AUTO_TEST_CASE(
+    keeps_its_promises_when_a_primary_is_replaced_just_after_a_cut) {
+  for (base::duration Delay : {20ms, 100ms, 300ms, 500ms})
+    repeat({{fault_kind::CutDomain, 5000ms, 5500ms, 0},
+            {fault_kind::ReleasePrimaryAfterStart, 5000ms + Delay, 0ms, 0}});
+}
+
 // Guards against commits that a host which still reaches the primary answers,
 // and that only a replica has which is not listed yet (review/12).
 BOOST_AUTO_TEST_CASE(keeps_its_promises_when_a_replica_joins_beside_a_cut) {
--- a/packages/sessions/tests/leadership_test.cpp
+++ b/packages/sessions/tests/leadership_test.cpp
@@ -57,6 +57,12 @@
     claim(1, Time);
   }
 
+  /// Whether a promotion keeps a commit on P.
+  bool isKept(groups::log_position Position, base::time_point Time) const {
+    return Leadership.isReplicated(Position) ||
+           Leadership.canBeReported(P, Position.Term, Time);
+  }
+
   group_leadership Leadership;
 };
 
@@ -386,26 +392,26 @@
 
 BOOST_FIXTURE_TEST_CASE(within_its_lease, fixture) {
   beginLease(100ms);
-  BOOST_TEST(!Leadership.isKept(P, {1, 60}, at(99ms)));
-  BOOST_TEST(Leadership.isKept(P, {1, 60}, at(100ms)));
-  BOOST_TEST(Leadership.isKept(P, {1, 60}, at(1100ms)));
-  BOOST_TEST(!Leadership.isKept(P, {1, 60}, at(1101ms)));
+  BOOST_TEST(!isKept({1, 60}, at(99ms)));
+  BOOST_TEST(isKept({1, 60}, at(100ms)));
+  BOOST_TEST(isKept({1, 60}, at(1100ms)));
+  BOOST_TEST(!isKept({1, 60}, at(1101ms)));
   Leadership.release(at(500ms));
-  BOOST_TEST(!Leadership.isKept(P, {1, 60}, at(400ms)));
+  BOOST_TEST(!isKept({1, 60}, at(400ms)));
 }
 
 BOOST_FIXTURE_TEST_CASE(unless_the_lease_began_later, fixture) {
   beginLease(0ms);
   prove(2000ms);
   claim(1, 2000ms);
-  BOOST_TEST(!Leadership.isKept(P, {1, 60}, at(1500ms)));
+  BOOST_TEST(!isKept({1, 60}, at(1500ms)));
 }
 
 BOOST_FIXTURE_TEST_CASE(if_a_replica_has_shown_its_position, fixture) {
-  BOOST_TEST(!Leadership.isKept(P, {1, 50}, at(0ms)));
+  BOOST_TEST(!isKept({1, 50}, at(0ms)));
   prove(0ms);
-  BOOST_TEST(Leadership.isKept(P, {1, 50}, at(0ms)));
-  BOOST_TEST(!Leadership.isKept(P, {1, 51}, at(0ms)));
+  BOOST_TEST(isKept({1, 50}, at(0ms)));
+  BOOST_TEST(!isKept({1, 51}, at(0ms)));
 }
 
 BOOST_FIXTURE_TEST_CASE(not_if_the_primary_alone_has_shown_it, fixture) {
@@ -415,7 +421,7 @@
   // It was demoted.
   Leadership.recordStatus(P, {instance_role::Replica, 1, {1, 60}, 0}, at(20ms),
                           at(20ms));
-  BOOST_TEST(!Leadership.isKept(P, {1, 60}, at(10ms)));
+  BOOST_TEST(!isKept({1, 60}, at(10ms)));
 }
 
 // Guards against a commit that a replica has which a promotion in progress does
@@ -427,7 +433,7 @@
   auto Shows = [&](base::duration Time) {
     Leadership.recordStatus(R3, {instance_role::Replica, 1, {1, 60}, 0},
                             at(Time), at(Time));
-    return Leadership.isKept(P, {1, 60}, at(0ms));
+    return isKept({1, 60}, at(0ms));
   };
   BOOST_TEST(!Shows(200ms));
   BOOST_TEST(Shows(4600ms));
@@ -435,10 +441,10 @@
 
 BOOST_FIXTURE_TEST_CASE(while_the_claim_shows_no_attempt, fixture) {
   claimAtRest(1, 0ms);
-  BOOST_TEST(Leadership.isKept(P, {1, 60}, at(1000ms)));
-  BOOST_TEST(!Leadership.isKept(P, {1, 60}, at(1001ms)));
+  BOOST_TEST(isKept({1, 60}, at(1000ms)));
+  BOOST_TEST(!isKept({1, 60}, at(1001ms)));
   claim(1, 2000ms);
-  BOOST_TEST(!Leadership.isKept(P, {1, 60}, at(2000ms)));
+  BOOST_TEST(!isKept({1, 60}, at(2000ms)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/sessions/tests/peer_message_test.cpp
+++ b/packages/sessions/tests/peer_message_test.cpp
@@ -88,6 +88,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(carries_a_contact) {
+  contact_request Request{base::fromMicroseconds(77)};
+  contact_reply Reply{base::fromMicroseconds(77)};
+  std::string Bytes = encodeDatagram({"10.0.0.1:1", Request});
+  BOOST_TEST(
+      (std::get<contact_request>(decodeDatagram(Bytes)->Message) == Request));
+  Bytes = encodeDatagram({"10.0.0.1:1", Reply});
+  BOOST_TEST(
+      (std::get<contact_reply>(decodeDatagram(Bytes)->Message) == Reply));
+}
+
 BOOST_AUTO_TEST_CASE(carries_an_inquiry_about_commits_and_its_report) {
   commit_inquiry Inquiry{base::group_id("g"), 3, 1'234'567'890};
   commit_report Report{base::group_id("g"), 1'234'567'890, base::host_id("h"),
