Refuse statuses from before a release when all members confirm a lease

A host that had told a promotion which commits it knows could get a lease again while the store was away, dated by the status of a member from before its answer: confirmByMembers takes the oldest status of all members and did not compare it with the release, as prove and recordProof do.

not_by_members_that_were_asked_before_the_release failed before. All 353 tests of the package but the search pass.

--- a/packages/sessions/src/group_leadership.cpp
+++ b/packages/sessions/src/group_leadership.cpp
@@ -196,7 +196,7 @@
       return;
     Since = std::min(Since, Dated->second.SentAt);
   }
-  if (Now > Since + LeaseDuration)
+  if (Now > Since + LeaseDuration || Since <= ReleasedAt)
     return;
   confirm(Unconfirmed->Primary, Unconfirmed->Term, Since, Since);
   Unconfirmed.reset();
--- a/packages/sessions/tests/leadership_test.cpp
+++ b/packages/sessions/tests/leadership_test.cpp
@@ -160,6 +160,21 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a lease that begins before the release, by the status of a
+// member that was asked before.
+BOOST_FIXTURE_TEST_CASE(not_by_members_that_were_asked_before_the_release,
+                        fixture) {
+  claim(1, 0ms);
+  status(R2, instance_role::Replica, 1, 0, 4900ms);
+  Leadership.release(at(5000ms));
+  prove(5100ms);
+  Leadership.confirmByMembers(at(5100ms));
+  BOOST_TEST(!Leadership.isProved(at(5100ms)));
+  status(R2, instance_role::Replica, 1, 0, 5200ms);
+  Leadership.confirmByMembers(at(5200ms));
+  BOOST_TEST(Leadership.isProved(at(5200ms)));
+}
+
 // Guards against commits and reads on the old primary by a host that has told a
 // promotion which commits it knows.
 BOOST_FIXTURE_TEST_CASE(only_anew_once_the_lease_was_released, fixture) {
